Serve a request over the thin whole path

Cause: nothing exists yet; the design page and the first end-to-end path come before every other change.

Change: design page, inner protocol with generated code, configuration fold, log and list clients, a proxy on hono and undici, stand-ins, 'npm start' with two entry instances, formatter, linter, type check and a test over separate processes.

Quota is local to one instance, ejection, retries and membership are not built yet.

--- /dev/null
+++ b/jest.config.mjs
@@ -0,0 +1,14 @@
+export default {
+    rootDir: ".",
+    roots: ["<rootDir>/test"],
+    testEnvironment: "node",
+    testMatch: ["**/*.test.ts"],
+    transform: {
+        "^.+\\.ts$": ["@swc/jest", {
+            jsc: { target: "es2022", parser: { syntax: "typescript" } },
+            module: { type: "commonjs" },
+        }],
+    },
+    transformIgnorePatterns: ["/node_modules/(?!(pure-rand)/)"],
+    testTimeout: 30_000,
+};
--- /dev/null
+++ b/packages/failures/src/index.ts
@@ -0,0 +1,2 @@
+export { Failure } from "./failure";
+export type { FailureInfo } from "./failure";
--- /dev/null
+++ b/packages/protocol/src/index.ts
@@ -0,0 +1,1 @@
+export * from "./generated/trefoilladder/v1/fleet_pb";
--- /dev/null
+++ b/packages/proxy/src/index.ts
@@ -0,0 +1,3 @@
+export { callerHeader, requestOutcome } from "./caller-interface";
+export { createProxy } from "./proxy";
+export type { ProxyParts } from "./proxy";
--- /dev/null
+++ b/packages/stand-ins/src/http-server.ts
@@ -0,0 +1,27 @@
+import { serve } from "@hono/node-server";
+import type { Hono } from "hono";
+import type { Server } from "node:http";
+import type { AddressInfo } from "node:net";
+
+/** A listening HTTP server. */
+export interface HttpServer {
+    port: number;
+    server: Server;
+    close(): Promise<void>;
+}
+
+/** Serves an application on loopback; port 0 takes a free port. */
+export async function serveApplication(fetch: Hono["fetch"], port: number): Promise<HttpServer> {
+    const server = await new Promise<Server>(resolve => {
+        const created = serve({ fetch, hostname: "127.0.0.1", port }, () => resolve(created)) as Server;
+    });
+    return {
+        port: (server.address() as AddressInfo).port,
+        server,
+        close: () =>
+            new Promise(resolve => {
+                server.close(() => resolve());
+                server.closeAllConnections();
+            }),
+    };
+}
--- /dev/null
+++ b/packages/telemetry/src/index.ts
@@ -0,0 +1,2 @@
+export { createTelemetry } from "./telemetry";
+export type { LogFields, Telemetry, TelemetryOptions } from "./telemetry";
--- /dev/null
+++ b/test/whole-path.test.ts
@@ -0,0 +1,126 @@
+import { createKey } from "@trefoilladder/configuration";
+import type { ListedInstance } from "@trefoilladder/platform";
+import { startInstanceList, startLog, startTarget } from "@trefoilladder/stand-ins";
+import { spawn } from "node:child_process";
+import type { ChildProcess } from "node:child_process";
+import { once } from "node:events";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { createServer } from "node:net";
+import type { AddressInfo } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { setTimeout as delay } from "node:timers/promises";
+
+interface Fleet {
+    url: string;
+    key: string;
+    entry: ChildProcess;
+    close(): Promise<void>;
+}
+
+async function freePort(): Promise<number> {
+    const server = createServer().listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const { port } = server.address() as AddressInfo;
+    server.close();
+    await once(server, "close");
+    return port;
+}
+
+async function startFleet(): Promise<Fleet> {
+    const directory = mkdtempSync(join(tmpdir(), "trefoilladder-test-"));
+    const log = await startLog();
+    const list = await startInstanceList();
+    const target = await startTarget({ id: "dossier-0" });
+    const [port, innerPort] = [await freePort(), await freePort()];
+    const address = { address: "127.0.0.1", domain: "a", state: "live" } as const;
+    const instances: ListedInstance[] = [
+        { id: "dossier-0", role: "target", service: "dossier", port: target.port, ...address },
+        { id: "entry-0", role: "entry", port, innerPort, ...address },
+    ];
+    instances.forEach(instance => list.put(instance));
+    const created = createKey("laurel");
+    log.append("configuration", {
+        id: "initial-lists",
+        changes: [
+            {
+                kind: "put-plan",
+                revision: 0,
+                plan: {
+                    name: "standard",
+                    ratePerSecond: 100,
+                    burst: 100,
+                    routes: [{ name: "lookups", service: "dossier", pathPrefix: "/nominees", methods: ["GET"] }],
+                },
+            },
+            { kind: "put-organisation", revision: 0, organisation: { name: "laurel", plan: "standard" } },
+            { kind: "create-key", key: created.key },
+        ],
+    });
+    const settings = join(directory, "entry.yaml");
+    writeFileSync(
+        settings,
+        [
+            "instanceId: entry-0",
+            "domain: a",
+            `listen: { port: ${port} }`,
+            `inner: { port: ${innerPort} }`,
+            `logUrl: ${log.url}`,
+            `instanceListUrl: ${list.url}`,
+        ].join("\n"),
+    );
+    const entry = spawn(process.execPath, ["dist/trefoilladder-entry.js", "--settings", settings], { stdio: "ignore" });
+    const url = `http://127.0.0.1:${port}`;
+    return {
+        url,
+        key: created.text,
+        entry,
+        async close() {
+            if (entry.exitCode === null) {
+                entry.kill("SIGTERM");
+                await once(entry, "exit");
+            }
+            await Promise.all([log.close(), list.close(), target.close()]);
+            rmSync(directory, { recursive: true, force: true });
+        },
+    };
+}
+
+/** Repeats a request until it is answered with the status; the test's own time limit ends it. */
+async function fetchUntil(status: number, url: string, headers: Record<string, string>): Promise<Response> {
+    for (;;) {
+        const response = await fetch(url, { headers }).catch(() => undefined);
+        if (response?.status === status) {
+            return response;
+        }
+        await delay(50);
+    }
+}
+
+describe("whole path over separate processes", () => {
+    let fleet: Fleet;
+    beforeAll(async () => {
+        fleet = await startFleet();
+    });
+    afterAll(() => fleet.close());
+
+    it("serves a request with a valid key and hides the key from the target", async () => {
+        const headers = { "authorization": `Bearer ${fleet.key}`, "request-id": "r-1" };
+        const response = await fetchUntil(200, `${fleet.url}/nominees/17?x=1`, headers);
+        expect(response.headers.get("request-outcome")).toBe("ran");
+        expect(await response.json()).toMatchObject({ target: "dossier-0", requestId: "r-1", sawKey: false });
+    });
+
+    it("refuses a request without a key as not run", async () => {
+        const response = await fetch(`${fleet.url}/nominees/17`);
+        expect(response.status).toBe(401);
+        expect(response.headers.get("request-outcome")).toBe("not-run");
+        expect(await response.json()).toMatchObject({ code: "key_missing" });
+    });
+
+    it("exits with code 0 on SIGTERM", async () => {
+        const exited = once(fleet.entry, "exit");
+        fleet.entry.kill("SIGTERM");
+        expect(await exited).toEqual([0, null]);
+    });
+});
