Decide rate and burst over all instances by owners and delegations

Cause: an even split gives 1/48 of a burst of 2 to each instance, which admits nothing; a bucket per instance admits 48 times the rate.

Change: one owner per organisation holds the token bucket and answers Acquire; instances with high demand get a delegation, a part of rate and burst debited from the owner for a term of 2 s.

The virtual clock left one abort listener per sleep behind, which made long runs quadratic; sleepers now remove their listener.

--- a/packages/clock/src/virtual-clock.ts
+++ b/packages/clock/src/virtual-clock.ts
@@ -29,19 +29,23 @@
     return {
         now: () => time,
         sleep(ms, signal) {
+            if (signal?.aborted === true) {
+                return Promise.resolve();
+            }
             return new Promise(resolve => {
-                const sleeper: Sleeper = { wakeAt: time + ms, wake: resolve };
-                sleepers.add(sleeper);
-                signal?.addEventListener("abort", () => {
+                const wake = () => {
+                    signal?.removeEventListener("abort", wake);
                     sleepers.delete(sleeper);
                     resolve();
-                }, { once: true });
+                };
+                const sleeper: Sleeper = { wakeAt: time + ms, wake };
+                sleepers.add(sleeper);
+                signal?.addEventListener("abort", wake);
             });
         },
         async advance(ms) {
             const end = time + ms;
             for (let due = nextDue(end); due !== undefined; due = nextDue(end)) {
-                sleepers.delete(due);
                 time = Math.max(time, due.wakeAt);
                 due.wake();
                 // Lets the woken task run up to its next wait before time moves on.
--- /dev/null
+++ b/packages/quota/src/fleet-quota.ts
@@ -0,0 +1,248 @@
+import { create } from "@bufbuild/protobuf";
+import type { Clock } from "@trefoilladder/clock";
+import { shardOf } from "@trefoilladder/membership";
+import { AcquireRequestSchema, AcquireVerdict } from "@trefoilladder/protocol";
+import type { AcquireRequest, AcquireResponse } from "@trefoilladder/protocol";
+import type { Telemetry } from "@trefoilladder/telemetry";
+import { err, ok } from "neverthrow";
+import type { Result } from "neverthrow";
+import { createDemandMeter } from "./demand-meter";
+import type { DemandMeter } from "./demand-meter";
+import { openDelegation } from "./held-delegation";
+import type { UsableDelegation } from "./held-delegation";
+import type { Quota, QuotaRequest } from "./quota";
+import { QuotaRefusal } from "./quota";
+import type { ResolvedQuotaOptions } from "./quota-options";
+
+/** Collaborators of the fleet-wide quota. */
+export interface FleetQuotaParts {
+    clock: Clock;
+    telemetry: Telemetry;
+    /** Incarnation of this instance. */
+    self(): string;
+    holdsLease(): boolean;
+    isFenced(incarnation: string): boolean;
+    presumedOwner(shard: number): string | undefined;
+    /** Calls the owner; resolves to undefined when the call fails or takes longer than `timeoutMs`. */
+    callOwner(owner: string, request: AcquireRequest, timeoutMs: number): Promise<AcquireResponse | undefined>;
+    /** Returns a number from 0 up to, but not including, 1. */
+    random(): number;
+}
+
+/** Quota over all instances together. */
+export interface FleetQuota extends Quota {
+    /** Renews or returns delegations until the signal aborts. */
+    run(signal: AbortSignal): Promise<void>;
+    /** Returns every delegation to its owner, on a graceful stop. */
+    returnAll(): Promise<void>;
+    /** Number of delegations held now. */
+    heldDelegations(): number;
+}
+
+interface OrganisationState {
+    demand: DemandMeter;
+    delegation?: UsableDelegation;
+    /** Time until which the owner's last refusal stands. */
+    refusedUntil: number;
+}
+
+type AcquireOutcome =
+    | { kind: "granted"; usableFrom: number; usableUntil: number; }
+    | { kind: "refused"; retryAfterMs: number; }
+    | { kind: "unanswered"; };
+
+const renewIntervalMs = 250;
+const ownerRetryMs = 40;
+const forgetAfterMs = 60_000;
+/** Time that a request needs after its admission; a token that comes later is of no use. */
+const minServiceMs = 5;
+
+/** Creates the quota of an instance that asks owners and uses their delegations. */
+export function createFleetQuota(parts: FleetQuotaParts, options: ResolvedQuotaOptions): FleetQuota {
+    const { clock, telemetry } = parts;
+    const organisations = new Map<string, OrganisationState>();
+
+    function stateOf(organisation: string, now: number): OrganisationState {
+        let state = organisations.get(organisation);
+        if (state === undefined) {
+            state = { demand: createDemandMeter(now), refusedUntil: -Infinity };
+            organisations.set(organisation, state);
+        }
+        return state;
+    }
+
+    function usableDelegation(state: OrganisationState, now: number): UsableDelegation | undefined {
+        const { delegation } = state;
+        if (delegation === undefined) {
+            return undefined;
+        }
+        const valid = now < delegation.endsAt && delegation.holder === parts.self()
+            && !parts.isFenced(delegation.owner);
+        if (!valid) {
+            state.delegation = undefined;
+        }
+        return state.delegation;
+    }
+
+    function keepDelegation(
+        state: OrganisationState,
+        response: AcquireResponse,
+        context: { owner: string; holder: string; sentAt: number; },
+    ): void {
+        const { delegation } = response;
+        const now = clock.now();
+        if (delegation === undefined || context.holder !== parts.self() || parts.isFenced(context.owner)) {
+            return;
+        }
+        const held = usableDelegation(state, now);
+        if (held?.number === delegation.number) {
+            held.endsAt = Math.max(held.endsAt, context.sentAt + delegation.termMs);
+            return;
+        }
+        state.delegation = openDelegation(delegation, { ...context, now });
+    }
+
+    async function acquire(
+        organisation: string,
+        state: OrganisationState,
+        wanted: { tokens: number; maxDelayMs?: number; returned?: UsableDelegation; },
+    ): Promise<AcquireOutcome> {
+        const owner = parts.presumedOwner(shardOf(organisation));
+        const sentAt = clock.now();
+        if (owner === undefined) {
+            return { kind: "unanswered" };
+        }
+        const holder = parts.self();
+        const held = wanted.returned ?? usableDelegation(state, sentAt);
+        const response = await parts.callOwner(
+            owner,
+            create(AcquireRequestSchema, {
+                incarnation: holder,
+                organisation,
+                tokens: wanted.tokens,
+                demandPerSecond: state.demand.perSecond(sentAt),
+                heldNumber: held?.number ?? 0n,
+                heldLevel: held?.bucket.level(sentAt),
+                returned: wanted.returned !== undefined,
+                maxDelayMs: Math.max(0, Math.floor(wanted.maxDelayMs ?? 0)),
+            }),
+            options.acquireTimeoutMs,
+        );
+        telemetry.count("quota.acquires");
+        if (response === undefined) {
+            return { kind: "unanswered" };
+        }
+        keepDelegation(state, response, { owner, holder, sentAt });
+        if (response.verdict === AcquireVerdict.GRANTED) {
+            const usableFrom = clock.now() + response.delayMs;
+            const usableUntil = sentAt + response.delayMs + response.useWithinMs;
+            return holder === parts.self() ? { kind: "granted", usableFrom, usableUntil } : { kind: "unanswered" };
+        }
+        return response.verdict === AcquireVerdict.REFUSED
+            ? { kind: "refused", retryAfterMs: response.retryAfterMs }
+            : { kind: "unanswered" };
+    }
+
+    function refuse(code: QuotaRefusal["code"], message: string, retryAfterMs: number): Result<void, QuotaRefusal> {
+        return err(new QuotaRefusal(code, message, retryAfterMs));
+    }
+
+    function takeLocally(state: OrganisationState): boolean {
+        const now = clock.now();
+        return usableDelegation(state, now)?.bucket.take(1, now) === 0;
+    }
+
+    async function sleepUntil(time: number, signal: AbortSignal): Promise<void> {
+        // A timer may fire slightly early, and a token must not be used before its time.
+        while (clock.now() < time && !signal.aborted) {
+            await clock.sleep(Math.ceil(time - clock.now()), signal);
+        }
+    }
+
+    async function admit(request: QuotaRequest): Promise<Result<void, QuotaRefusal>> {
+        const startedAt = clock.now();
+        const state = stateOf(request.organisation, startedAt);
+        state.demand.record(startedAt);
+        const waitUntil = Math.min(startedAt + options.maxOwnerWaitMs, request.deadlineAt - minServiceMs);
+        for (;;) {
+            if (request.signal.aborted) {
+                return refuse("cancelled", "the caller went away", 0);
+            }
+            if (parts.holdsLease()) {
+                if (takeLocally(state)) {
+                    return ok(undefined);
+                }
+                const now = clock.now();
+                if (now < state.refusedUntil) {
+                    return refuse("rate_exceeded", "the organisation's rate is used up", state.refusedUntil - now);
+                }
+                const outcome = await acquire(request.organisation, state, {
+                    tokens: 1,
+                    maxDelayMs: request.deadlineAt - minServiceMs - now,
+                });
+                if (outcome.kind === "refused") {
+                    state.refusedUntil = clock.now() + Math.min(outcome.retryAfterMs, options.maxBookingDelayMs);
+                    return refuse("rate_exceeded", "the organisation's rate is used up", outcome.retryAfterMs);
+                }
+                if (outcome.kind === "granted") {
+                    await sleepUntil(outcome.usableFrom, request.signal);
+                    // Checked after the wait, in the turn of the admission: a pause may have outlived grant and lease.
+                    if (clock.now() <= outcome.usableUntil && parts.holdsLease() && !request.signal.aborted) {
+                        return ok(undefined);
+                    }
+                    telemetry.count("quota.grants_expired");
+                }
+            }
+            if (clock.now() + ownerRetryMs >= waitUntil) {
+                return parts.holdsLease()
+                    ? refuse("quota_unavailable", "the owner of the organisation's quota gave no answer", ownerRetryMs)
+                    : refuse("instance_isolated", "the instance has lost contact with the fleet", ownerRetryMs);
+            }
+            await clock.sleep(ownerRetryMs * (0.5 + parts.random()), request.signal);
+        }
+    }
+
+    async function renew(organisation: string, state: OrganisationState): Promise<void> {
+        const now = clock.now();
+        const held = usableDelegation(state, now);
+        if (held === undefined || held.endsAt - now > options.delegationTermMs / 2) {
+            return;
+        }
+        if (state.demand.perSecond(now) >= options.delegationThresholdPerSecond / 2) {
+            await acquire(organisation, state, { tokens: 0 });
+            return;
+        }
+        // Stops using the delegation before the owner is told: a lost message then loses tokens but never doubles them.
+        state.delegation = undefined;
+        await acquire(organisation, state, { tokens: 0, returned: held });
+    }
+
+    function forgetIdle(now: number): void {
+        for (const [organisation, state] of organisations) {
+            if (state.delegation === undefined && now - state.demand.lastAt() > forgetAfterMs) {
+                organisations.delete(organisation);
+            }
+        }
+    }
+
+    return {
+        admit,
+        async run(signal) {
+            while (!signal.aborted) {
+                await clock.sleep(renewIntervalMs * (0.8 + 0.4 * parts.random()), signal);
+                forgetIdle(clock.now());
+                await Promise.all([...organisations].map(([organisation, state]) => renew(organisation, state)));
+            }
+        },
+        async returnAll() {
+            await Promise.all([...organisations].map(async ([organisation, state]) => {
+                const held = usableDelegation(state, clock.now());
+                state.delegation = undefined;
+                if (held !== undefined) {
+                    await acquire(organisation, state, { tokens: 0, returned: held });
+                }
+            }));
+        },
+        heldDelegations: () => [...organisations.values()].filter(({ delegation }) => delegation !== undefined).length,
+    };
+}
--- /dev/null
+++ b/packages/quota/src/held-delegation.ts
@@ -0,0 +1,34 @@
+import type { Delegation } from "@trefoilladder/protocol";
+import { createTokenBucket } from "./token-bucket";
+import type { TokenBucket } from "./token-bucket";
+
+/** A delegation that this instance may use until its term ends. */
+export interface UsableDelegation {
+    number: bigint;
+    /** Incarnation of the owner that granted it. */
+    owner: string;
+    /** Incarnation of this instance at the time of the grant. */
+    holder: string;
+    /** Time at which the holder stops using it, in milliseconds. */
+    endsAt: number;
+    bucket: TokenBucket;
+}
+
+/** Makes a delegation usable; the term counts from the time the request was sent. */
+export function openDelegation(
+    message: Delegation,
+    context: { owner: string; holder: string; sentAt: number; now: number; },
+): UsableDelegation {
+    return {
+        number: message.number,
+        owner: context.owner,
+        holder: context.holder,
+        endsAt: context.sentAt + message.termMs,
+        bucket: createTokenBucket({
+            ratePerSecond: message.ratePerSecond,
+            burst: message.burst,
+            level: message.level,
+            now: context.now,
+        }),
+    };
+}
--- a/packages/quota/src/index.ts
+++ b/packages/quota/src/index.ts
@@ -1,5 +1,12 @@
+export { createFleetQuota } from "./fleet-quota";
+export type { FleetQuota, FleetQuotaParts } from "./fleet-quota";
 export { createLocalQuota } from "./local-quota";
-export type { Quota, QuotaRequest } from "./quota";
+export type { LocalQuotaOptions } from "./local-quota";
+export type { Quota, QuotaRefusalCode, QuotaRequest } from "./quota";
 export { QuotaRefusal } from "./quota";
+export { resolveQuotaOptions } from "./quota-options";
+export type { QuotaLimit, QuotaOptions, ResolvedQuotaOptions } from "./quota-options";
+export { createQuotaOwner } from "./quota-owner";
+export type { QuotaOwner, QuotaOwnerParts } from "./quota-owner";
 export { createTokenBucket } from "./token-bucket";
-export type { TokenBucket } from "./token-bucket";
+export type { Booking, TokenBucket } from "./token-bucket";
--- a/packages/quota/src/token-bucket.ts
+++ b/packages/quota/src/token-bucket.ts
@@ -1,9 +1,16 @@
+/** Outcome of a booking: the wait until the token may be used, or the time after which a booking may succeed. */
+export type Booking = { granted: true; delayMs: number; } | { granted: false; retryAfterMs: number; };
+
 /** A token bucket on monotonic time; every call carries the time in milliseconds. */
 export interface TokenBucket {
     /** Takes the tokens when they are there and returns 0, otherwise returns the milliseconds until they will be. */
     take(tokens: number, now: number): number;
-    /** Returns the tokens at a time. */
+    /** Takes the tokens when they become available within `maxDelayMs`; the level may go below 0 meanwhile. */
+    book(tokens: number, now: number, maxDelayMs: number): Booking;
+    /** Returns the tokens at a time; negative while tokens are booked ahead. */
     level(now: number): number;
+    /** Adds or removes tokens; the level never exceeds the burst. */
+    adjust(tokens: number, now: number): void;
     /** Sets a new rate and burst; the level is cut to the burst. */
     resize(ratePerSecond: number, burst: number, now: number): void;
 }
@@ -23,19 +30,38 @@
         updatedAt = Math.max(updatedAt, now);
     }
 
+    function waitFor(wanted: number, now: number): number {
+        refill(now);
+        if (tokens >= wanted) {
+            return 0;
+        }
+        return wanted > burst || ratePerSecond <= 0 ? Infinity : (wanted - tokens) * 1000 / ratePerSecond;
+    }
+
     return {
         take(wanted, now) {
-            refill(now);
-            if (tokens >= wanted) {
+            const waitMs = waitFor(wanted, now);
+            if (waitMs === 0) {
                 tokens -= wanted;
-                return 0;
             }
-            return (wanted - tokens) * 1000 / ratePerSecond;
+            return waitMs;
+        },
+        book(wanted, now, maxDelayMs) {
+            const delayMs = waitFor(wanted, now);
+            if (delayMs > maxDelayMs) {
+                return { granted: false, retryAfterMs: delayMs };
+            }
+            tokens -= wanted;
+            return { granted: true, delayMs };
         },
         level(now) {
             refill(now);
             return tokens;
         },
+        adjust(amount, now) {
+            refill(now);
+            tokens = Math.min(burst, tokens + amount);
+        },
         resize(newRate, newBurst, now) {
             refill(now);
             ratePerSecond = newRate;
