Hold a contact lease, fence silent members and own shards

Quota and coordinators need one owner for a shard, and admission needs a lease that a paused or isolated process loses by itself.

Membership pulls rows from two peers every 200 ms, counts their ages from the moment a pull was sent, fences incarnations that nobody hears from and starts a new incarnation when this one was fenced. Ownership follows the roster stream, claims shards whose higher candidates are void, and moves state with Handover.

--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,3 +1,14 @@
+export { addresseeHeader, createShardOwnership } from "./candidate-ownership";
+export type { ShardOwnershipOptions, ShardOwnershipParts, ShardOwnershipService } from "./candidate-ownership";
+export { createMembership } from "./gossip-membership";
+export type { MembershipOptions, MembershipParts, MembershipService } from "./gossip-membership";
+export { instanceIdOf } from "./incarnation";
 export type { Member, Membership, MembershipPeer } from "./membership";
+export { MembershipFailure } from "./membership-failure";
+export type { MembershipFailureCode } from "./membership-failure";
+export { createPeerClient } from "./peer-client";
+export type { PeerClient } from "./peer-client";
+export { createRoster, rosterStream } from "./roster";
+export type { Roster } from "./roster";
 export { shardCount, shardOf } from "./shard";
 export type { ShardOwnership, ShardStateHolder } from "./shard-ownership";
--- /dev/null
+++ b/test/membership/fake-fleet.ts
@@ -0,0 +1,321 @@
+import { create } from "@bufbuild/protobuf";
+import { Code, ConnectError } from "@connectrpc/connect";
+import { createVirtualClock } from "@trefoilladder/clock";
+import type { Clock, VirtualClock } from "@trefoilladder/clock";
+import { createMembership, createRoster, createShardOwnership, shardCount } from "@trefoilladder/membership";
+import type { MembershipPeer, MembershipService, Roster, ShardOwnershipService } from "@trefoilladder/membership";
+import { PlatformFailure } from "@trefoilladder/platform";
+import type { ListedInstance, LogClient, LogRecord } from "@trefoilladder/platform";
+import { BucketStateSchema, HandoverRequestSchema, PullRowsRequestSchema } from "@trefoilladder/protocol";
+import type { BucketState } from "@trefoilladder/protocol";
+import type { Telemetry } from "@trefoilladder/telemetry";
+import { err, ok } from "neverthrow";
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+
+/** A process of the fake fleet. */
+export interface FakeProcess {
+    id: string;
+    membership: MembershipService;
+    ownership: ShardOwnershipService;
+    roster: Roster;
+    /** Levels that this process was handed or keeps for the shards it owns. */
+    levels: Map<number, number>;
+    /** Shards that were installed without state. */
+    successions: number;
+    alive: boolean;
+    paused: boolean;
+    kill(): void;
+    pause(): void;
+    resume(): void;
+}
+
+/** Several processes with one virtual clock, one log, one list and a network of function calls. */
+export interface FakeFleet {
+    clock: VirtualClock;
+    processes: Map<string, FakeProcess>;
+    log: { available: boolean; };
+    /** Share of messages that are lost. */
+    lossRate: number;
+    /** Directed links that lose everything, as "from>to". */
+    blocked: Set<string>;
+    /** Called for each handover response on its way; returns whether it is lost. */
+    losesHandoverResponse: (from: string, to: string) => boolean;
+    start(id: string): FakeProcess;
+    setList(ids: readonly string[], only?: readonly string[]): void;
+    /** Advances time in steps and calls `check` after each. */
+    advance(ms: number, check?: () => void): Promise<void>;
+    owners(shard: number): FakeProcess[];
+    /** Throws when two running processes own one shard. */
+    assertSingleOwners(): void;
+    /** Levels of a shard over all running processes that own it. */
+    level(shard: number): number;
+    stop(): Promise<void>;
+}
+
+export const silentTelemetry: Telemetry = {
+    count: () => undefined,
+    gauge: () => undefined,
+    recordDuration: () => undefined,
+    stateChange: () => undefined,
+    fault: () => undefined,
+    snapshot: () => ({}),
+    histograms: () => new Map(),
+    close: () => undefined,
+};
+
+/** A client of a log in memory whose reads wait on the client's clock. */
+function createFakeLog(
+    clock: Clock,
+    control: { available: boolean; },
+    streams: Map<string, LogRecord[]>,
+): LogClient {
+    const recordsOf = (stream: string) => {
+        const records = streams.get(stream) ?? [];
+        streams.set(stream, records);
+        return records;
+    };
+    const unavailable = () => err(new PlatformFailure("platform_unreachable", "the log is unavailable"));
+    return {
+        async append(stream, value) {
+            await clock.sleep(3);
+            if (!control.available) {
+                return unavailable();
+            }
+            const records = recordsOf(stream);
+            records.push({ offset: records.length, value });
+            return ok(records.length - 1);
+        },
+        async read(stream, from, options = {}) {
+            const end = clock.now() + (options.waitMs ?? 0);
+            do {
+                await clock.sleep(20);
+                if (!control.available) {
+                    return unavailable();
+                }
+            }
+            while (recordsOf(stream).length <= from && clock.now() < end && options.signal?.aborted !== true);
+            const records = recordsOf(stream);
+            return ok({ firstOffset: 0, endOffset: records.length, records: records.slice(from) });
+        },
+        close: async () => undefined,
+    };
+}
+
+/** Creates a fleet without processes; every random choice comes from the seed. */
+export function createFakeFleet(seed: number, options: { stepMs?: number; telemetry?: Telemetry; } = {}): FakeFleet {
+    const { stepMs = 25, telemetry = silentTelemetry } = options;
+    const clock = createVirtualClock(1_000);
+    const generator = xoroshiro128plus(seed);
+    const random = () => uniformFloat64(generator);
+    const processes = new Map<string, FakeProcess>();
+    const everyProcess: FakeProcess[] = [];
+    const log = { available: true };
+    const streams = new Map<string, LogRecord[]>();
+    let listed: ListedInstance[] = [];
+
+    const fleet: FakeFleet = {
+        clock,
+        processes,
+        log,
+        lossRate: 0,
+        blocked: new Set(),
+        losesHandoverResponse: () => false,
+        start,
+        setList(ids, only) {
+            listed = ids.map(id => listedInstance(id));
+            for (const process of processes.values()) {
+                if (process.alive && (only === undefined || only.includes(process.id))) {
+                    process.membership.update(listed);
+                }
+            }
+        },
+        async advance(ms, check) {
+            for (let passed = 0; passed < ms; passed += stepMs) {
+                await clock.advance(Math.min(stepMs, ms - passed));
+                check?.();
+            }
+        },
+        owners: shard => everyProcess.filter(process => isRunning(process) && process.ownership.owns(shard)),
+        assertSingleOwners() {
+            for (let shard = 0; shard < shardCount; shard++) {
+                const owners = fleet.owners(shard);
+                if (owners.length > 1) {
+                    throw new Error(`shard ${shard} has owners ${owners.map(owner => owner.membership.self()).join()}`);
+                }
+            }
+        },
+        level: shard => fleet.owners(shard).reduce((sum, owner) => sum + (owner.levels.get(shard) ?? 0), 0),
+        async stop() {
+            for (const process of everyProcess) {
+                process.resume();
+                process.kill();
+            }
+            await clock.advance(6_000);
+        },
+    };
+
+    function isRunning(process: FakeProcess): boolean {
+        return process.alive && !process.paused;
+    }
+
+    function listedInstance(id: string): ListedInstance {
+        const port = 10_000 + Number(id.slice(1));
+        return { id, role: "entry", address: "fake", port, innerPort: port, domain: "a", state: "live" };
+    }
+
+    function start(id: string): FakeProcess {
+        const stopping = new AbortController();
+        let wake: (() => void) | undefined;
+        let awake = Promise.resolve();
+        const own: Clock = {
+            now: clock.now,
+            async sleep(ms) {
+                await clock.sleep(ms);
+                await awake;
+            },
+        };
+        const ownLog = createFakeLog(own, log, streams);
+        const roster = createRoster({ log: ownLog, clock: own, telemetry });
+        const membership = createMembership({
+            clock: own,
+            telemetry,
+            roster,
+            appliedOffset: () => 0,
+            random,
+            connect: origin => ({ peer: connectTo(`i${Number(origin.slice(-5)) - 10_000}`), close: () => undefined }),
+        }, { instanceId: id, domain: "a" });
+        const levels = new Map<number, number>();
+        const ownership = createShardOwnership({
+            membership,
+            roster,
+            clock: own,
+            telemetry,
+            holders: [{
+                release(shard): BucketState[] {
+                    const level = levels.get(shard) ?? 0;
+                    levels.delete(shard);
+                    return [create(BucketStateSchema, { organisation: `organisation-${shard}`, level })];
+                },
+                install(shard, buckets) {
+                    process.successions += buckets === undefined ? 1 : 0;
+                    levels.set(shard, (buckets ?? []).reduce((sum, bucket) => sum + bucket.level, 0));
+                },
+            }],
+        });
+        const process: FakeProcess = {
+            id,
+            membership,
+            ownership,
+            roster,
+            levels,
+            successions: 0,
+            alive: true,
+            paused: false,
+            kill() {
+                process.alive = false;
+                stopping.abort();
+                process.resume();
+            },
+            pause() {
+                if (!process.paused) {
+                    process.paused = true;
+                    awake = new Promise(resolve => wake = resolve);
+                }
+            },
+            resume() {
+                process.paused = false;
+                wake?.();
+            },
+        };
+
+        async function passes(from: string, to: string): Promise<boolean> {
+            await clock.sleep(1 + Math.floor(random() * 15));
+            return !fleet.blocked.has(`${from}>${to}`) && random() >= fleet.lossRate;
+        }
+
+        async function untilAwake(target: FakeProcess): Promise<void> {
+            while (target.paused && target.alive) {
+                await clock.sleep(5);
+            }
+        }
+
+        function call<Response>(
+            to: string,
+            timeoutMs: number | undefined,
+            serve: (server: FakeProcess) => Response,
+            isHandover = false,
+        ): Promise<Response> {
+            return new Promise((resolve, reject) => {
+                void clock.sleep(timeoutMs ?? 1_000).then(async () => {
+                    await untilAwake(process);
+                    reject(new ConnectError("deadline", Code.DeadlineExceeded));
+                });
+                void (async () => {
+                    if (!await passes(id, to)) {
+                        return;
+                    }
+                    const server = processes.get(to);
+                    if (server === undefined || !server.alive) {
+                        return reject(new ConnectError("refused", Code.Unavailable));
+                    }
+                    await untilAwake(server);
+                    let response: Response;
+                    try {
+                        response = serve(server);
+                    }
+                    catch (error) {
+                        return reject(error as Error);
+                    }
+                    if (!await passes(to, id) || (isHandover && fleet.losesHandoverResponse(to, id)) || !server.alive) {
+                        return;
+                    }
+                    await untilAwake(process);
+                    resolve(response);
+                })();
+            });
+        }
+
+        function connectTo(to: string): MembershipPeer {
+            const peer: Pick<MembershipPeer, "pullRows" | "handover"> = {
+                pullRows: (request, callOptions) =>
+                    call(
+                        to,
+                        callOptions?.timeoutMs,
+                        server => server.membership.handlePullRows(create(PullRowsRequestSchema, request)),
+                    ),
+                handover: (request, callOptions) =>
+                    call(
+                        to,
+                        callOptions?.timeoutMs,
+                        server =>
+                            server.ownership.handleHandover(create(HandoverRequestSchema, request), {
+                                requestHeader: new Headers(callOptions?.headers),
+                            }),
+                        true,
+                    ),
+            };
+            return peer as MembershipPeer;
+        }
+
+        processes.set(id, process);
+        everyProcess.push(process);
+        membership.update(listed);
+        void roster.run(stopping.signal);
+        void membership.run(stopping.signal);
+        void ownership.run(stopping.signal);
+        return process;
+    }
+
+    return fleet;
+}
+
+/** Starts processes i0, i1, ... that list each other, and waits until every shard has an owner. */
+export async function createFormedFleet(size: number, seed: number): Promise<FakeFleet> {
+    const fleet = createFakeFleet(seed);
+    const ids = Array.from({ length: size }, (_, index) => `i${index}`);
+    fleet.setList(ids);
+    ids.forEach(id => fleet.start(id));
+    await fleet.advance(6_000, fleet.assertSingleOwners);
+    return fleet;
+}
