--- a/packages/membership/src/gossip-membership.ts
+++ b/packages/membership/src/gossip-membership.ts
@@ -195,6 +195,7 @@
     const left = new Set<string>();
     /** Instances known to have fenced an incarnation. */
     const fencedBy = new Map<string, Set<string>>();
+    const cleared = new Set<string>();
     const majorityFencedAt = new Map<string, number>();
     const links = new Map<string, PeerLink>();
     const endListeners: (() => void | Promise<void>)[] = [];
@@ -359,11 +360,22 @@
     }
 
     function isCleared(incarnation: string): boolean {
+        if (cleared.has(incarnation)) {
+            return true;
+        }
+        const isFenced = fences.has(incarnation) || roster.wasRemoved(incarnation);
+        if (isFenced && isVoid(incarnation)) {
+            cleared.add(incarnation);
+        }
+        return cleared.has(incarnation);
+    }
+
+    function isVoid(incarnation: string): boolean {
         const fencedAt = majorityFencedAt.get(incarnation);
         // Only a cleared incarnation is removed from the roster, so a remove record says the same. Everyone has dropped
         // a fence as old as the last condition from its row, so no majority for it can be seen any more.
         return left.has(incarnation) || roster.wasRemoved(incarnation)
-            || (fencedAt !== undefined && fences.has(incarnation) && clock.now() - fencedAt > leaseMs * driftFactor)
+            || (fencedAt !== undefined && clock.now() - fencedAt > leaseMs * driftFactor)
             || clock.now() - (fences.get(incarnation) ?? Infinity) > fenceRetentionMs;
     }
 
--- a/test/membership/fake-fleet.ts
+++ b/test/membership/fake-fleet.ts
@@ -28,6 +28,8 @@
     kill(): void;
     pause(): void;
     resume(): void;
+    /** Resolves when the process runs. */
+    awake(): Promise<void>;
 }
 
 /** Several processes with one virtual clock, one log, one list and a network of function calls. */
@@ -89,7 +91,7 @@
         async read(stream, from, options = {}) {
             const end = clock.now() + (options.waitMs ?? 0);
             do {
-                await clock.sleep(20);
+                await clock.sleep(100);
                 if (!control.available) {
                     return unavailable();
                 }
@@ -102,9 +104,13 @@
     };
 }
 
-/** Creates a fleet without processes; every random choice comes from the seed. */
-export function createFakeFleet(seed: number, options: { stepMs?: number; telemetry?: Telemetry; } = {}): FakeFleet {
-    const { stepMs = 25, telemetry = silentTelemetry } = options;
+/**
+ * Creates a fleet without processes; every random choice comes from the seed. With `separateLogs` no process sees
+ * another's roster records.
+ */
+export function createFakeFleet(seed: number, options: { stepMs?: number; separateLogs?: boolean; } = {}): FakeFleet {
+    const { stepMs = 25, separateLogs = false } = options;
+    const telemetry = silentTelemetry;
     const clock = createVirtualClock(1_000);
     const generator = xoroshiro128plus(seed);
     const random = () => uniformFloat64(generator);
@@ -175,7 +181,7 @@
                 await awake;
             },
         };
-        const ownLog = createFakeLog(own, log, streams);
+        const ownLog = createFakeLog(own, log, separateLogs ? new Map() : streams);
         const roster = createRoster({ log: ownLog, clock: own, telemetry });
         const membership = createMembership({
             clock: own,
@@ -227,6 +233,7 @@
                 process.paused = false;
                 wake?.();
             },
+            awake: () => awake,
         };
 
         async function passes(from: string, to: string): Promise<boolean> {
@@ -234,12 +241,6 @@
             return !fleet.blocked.has(`${from}>${to}`) && random() >= fleet.lossRate;
         }
 
-        async function untilAwake(target: FakeProcess): Promise<void> {
-            while (target.paused && target.alive) {
-                await clock.sleep(5);
-            }
-        }
-
         function call<Response>(
             to: string,
             timeoutMs: number | undefined,
@@ -248,7 +249,7 @@
         ): Promise<Response> {
             return new Promise((resolve, reject) => {
                 void clock.sleep(timeoutMs ?? 1_000).then(async () => {
-                    await untilAwake(process);
+                    await process.awake();
                     reject(new ConnectError("deadline", Code.DeadlineExceeded));
                 });
                 void (async () => {
@@ -259,7 +260,7 @@
                     if (server === undefined || !server.alive) {
                         return reject(new ConnectError("refused", Code.Unavailable));
                     }
-                    await untilAwake(server);
+                    await server.awake();
                     let response: Response;
                     try {
                         response = serve(server);
@@ -270,7 +271,7 @@
                     if (!await passes(to, id) || (isHandover && fleet.losesHandoverResponse(to, id)) || !server.alive) {
                         return;
                     }
-                    await untilAwake(process);
+                    await process.awake();
                     resolve(response);
                 })();
             });
@@ -311,8 +312,12 @@
 }
 
 /** Starts processes i0, i1, ... that list each other, and waits until every shard has an owner. */
-export async function createFormedFleet(size: number, seed: number): Promise<FakeFleet> {
-    const fleet = createFakeFleet(seed);
+export async function createFormedFleet(
+    size: number,
+    seed: number,
+    options: { separateLogs?: boolean; } = {},
+): Promise<FakeFleet> {
+    const fleet = createFakeFleet(seed, options);
     const ids = Array.from({ length: size }, (_, index) => `i${index}`);
     fleet.setList(ids);
     ids.forEach(id => fleet.start(id));
--- /dev/null
+++ b/test/membership/interleavings.test.ts
@@ -0,0 +1,119 @@
+import { shardCount } from "@trefoilladder/membership";
+import fc from "fast-check";
+import { createFormedFleet } from "./fake-fleet";
+import type { FakeFleet } from "./fake-fleet";
+
+const ids = ["i0", "i1", "i2", "i3", "i4"];
+const id = fc.constantFrom(...ids);
+const shards = Array.from({ length: shardCount }, (_, shard) => shard);
+const lastsMs = fc.integer({ min: 100, max: 6_000 });
+
+/** Faults by kind; each returns a function that ends it. */
+const faults = {
+    pause(fleet: FakeFleet, a: string) {
+        fleet.processes.get(a)!.pause();
+        return () => fleet.processes.get(a)!.resume();
+    },
+    restart(fleet: FakeFleet, a: string) {
+        fleet.processes.get(a)!.kill();
+        return () => void fleet.start(a);
+    },
+    oneWay(fleet: FakeFleet, a: string, b: string) {
+        fleet.blocked.add(`${a}>${b}`);
+        return () => void fleet.blocked.delete(`${a}>${b}`);
+    },
+    mute(fleet: FakeFleet, a: string) {
+        ids.forEach(other => fleet.blocked.add(`${a}>${other}`));
+        return () => ids.forEach(other => fleet.blocked.delete(`${a}>${other}`));
+    },
+    deaf(fleet: FakeFleet, a: string) {
+        ids.forEach(other => fleet.blocked.add(`${other}>${a}`));
+        return () => ids.forEach(other => fleet.blocked.delete(`${other}>${a}`));
+    },
+    loss(fleet: FakeFleet) {
+        fleet.lossRate = 0.3;
+        return () => void (fleet.lossRate = 0);
+    },
+    lostHandover(fleet: FakeFleet, a: string) {
+        fleet.losesHandoverResponse = from => from === a;
+        return () => void (fleet.losesHandoverResponse = () => false);
+    },
+    logOutage(fleet: FakeFleet) {
+        fleet.log.available = false;
+        return () => void (fleet.log.available = true);
+    },
+    leave(fleet: FakeFleet, a: string) {
+        const process = fleet.processes.get(a)!;
+        const ending = new AbortController();
+        void process.ownership.handOverAll(ending.signal).then(() => process.membership.leave());
+        return () => {
+            ending.abort();
+            process.kill();
+            fleet.start(a);
+        };
+    },
+    shorterList(fleet: FakeFleet, a: string, b: string) {
+        fleet.setList(ids.filter(other => other !== a), [b]);
+        return () => fleet.setList(ids);
+    },
+};
+
+const event = fc.record({
+    kind: fc.constantFrom(...Object.keys(faults) as (keyof typeof faults)[]),
+    a: id,
+    b: id,
+    lastsMs,
+    gapMs: fc.integer({ min: 0, max: 2_500 }),
+});
+
+describe("interleavings of faults", () => {
+    it("guards against two owners of a shard, doubled state and a lease after a pause", async () => {
+        await fc.assert(
+            fc.asyncProperty(fc.integer(), fc.array(event, { minLength: 2, maxLength: 10 }), async (seed, events) => {
+                const fleet = await createFormedFleet(ids.length, seed);
+                const { clock } = fleet;
+                for (const process of fleet.processes.values()) {
+                    for (const shard of process.levels.keys()) {
+                        process.levels.set(shard, 1);
+                    }
+                }
+                const endings: { at: number; end: () => void; }[] = [];
+                const check = () => {
+                    for (const ending of endings.filter(({ at }) => at <= clock.now())) {
+                        endings.splice(endings.indexOf(ending), 1);
+                        const pausedBefore = [...fleet.processes.values()].filter(process => process.paused);
+                        ending.end();
+                        // A process that was paused for longer than F must not own before new contact.
+                        for (const process of pausedBefore) {
+                            const heldUntil = process.membership.leaseUntil();
+                            expect(process.membership.holdsLease()).toBe(clock.now() < heldUntil);
+                        }
+                    }
+                    fleet.assertSingleOwners();
+                    expect(shards.filter(shard => fleet.level(shard) > 1)).toEqual([]);
+                };
+                for (const { kind, a, b, lastsMs, gapMs } of events) {
+                    const end = faults[kind](fleet, a, b);
+                    const begunAt = clock.now();
+                    endings.push({
+                        at: begunAt + lastsMs,
+                        end() {
+                            end();
+                            if (kind === "pause" && lastsMs > 1_500) {
+                                expect(fleet.processes.get(a)!.membership.holdsLease()).toBe(false);
+                            }
+                        },
+                    });
+                    await fleet.advance(gapMs, check);
+                }
+                await fleet.advance(9_000, check);
+                await fleet.stop();
+            }),
+            {
+                numRuns: Number(process.env.INTERLEAVINGS ?? 8),
+                seed: Number(process.env.INTERLEAVINGS_SEED ?? 20_261),
+                endOnFailure: true,
+            },
+        );
+    }, 600_000);
+});
--- a/test/membership/ownership.test.ts
+++ b/test/membership/ownership.test.ts
@@ -1,5 +1,5 @@
 import { shardCount } from "@trefoilladder/membership";
-import { createFormedFleet } from "./fake-fleet";
+import { createFakeFleet, createFormedFleet } from "./fake-fleet";
 import type { FakeFleet, FakeProcess } from "./fake-fleet";
 
 const shards = Array.from({ length: shardCount }, (_, shard) => shard);
@@ -112,7 +112,6 @@
 });
 
 it("has no owner when the log was never read", async () => {
-    const { createFakeFleet } = await import("./fake-fleet");
     const fleet = createFakeFleet(3);
     fleet.log.available = false;
     fleet.setList(["i0", "i1", "i2"]);
@@ -123,3 +122,11 @@
     expect(fleet.processes.get("i0")!.ownership.presumedOwner(0)).toBeUndefined();
     await fleet.stop();
 });
+
+it("guards against two owners when every instance sees a different roster", async () => {
+    const fleet = await createFormedFleet(3, 11, { separateLogs: true });
+    expect(unowned(fleet)).toEqual([]);
+    fleet.processes.get("i1")!.kill();
+    await fleet.advance(6_000, fleet.assertSingleOwners);
+    await fleet.stop();
+});
