Assert a lapsed lease only after a pause that lasted

The earlier assertion misread overlapping pauses and a restart during a pause: the process had run in between.

--- a/test/membership/fake-fleet.ts
+++ b/test/membership/fake-fleet.ts
@@ -25,6 +25,8 @@
     successions: number;
     alive: boolean;
     paused: boolean;
+    /** Time at which the last pause began. */
+    pausedAt: number;
     kill(): void;
     pause(): void;
     resume(): void;
@@ -218,6 +220,7 @@
             successions: 0,
             alive: true,
             paused: false,
+            pausedAt: 0,
             kill() {
                 process.alive = false;
                 stopping.abort();
@@ -226,6 +229,7 @@
             pause() {
                 if (!process.paused) {
                     process.paused = true;
+                    process.pausedAt = clock.now();
                     awake = new Promise(resolve => wake = resolve);
                 }
             },
