--- a/packages/configuration/src/configuration.ts
+++ b/packages/configuration/src/configuration.ts
@@ -1,4 +1,6 @@
 import type { LogRecord } from "@trefoilladder/platform";
+import { createConfigurationIndex, reindexKey, reindexOrganisation, reindexPlan } from "./configuration-index";
+import type { ConfigurationIndex } from "./configuration-index";
 import { editSchema } from "./edit";
 import type { Change, Edit, Key, Organisation, Plan } from "./edit";
 
@@ -35,10 +37,21 @@
     keys: Map<string, VersionedEntity<Key>>;
     /** Verdicts of recent edits by edit id, oldest first. */
     verdicts: Map<string, EditVerdict>;
+    /** Derived from the maps above and kept up to date by every change. */
+    readonly index: ConfigurationIndex;
+}
+
+/** Content of a configuration in the order of its maps. */
+export interface ConfigurationContent {
+    appliedOffset: number;
+    plans: VersionedEntity<Plan>[];
+    organisations: VersionedEntity<Organisation>[];
+    keys: VersionedEntity<Key>[];
+    verdicts: [string, EditVerdict][];
 }
 
 /** Number of edit ids remembered: more than a day's edits at 5,800 a day, so a late duplicate is recognised. */
-const maxRememberedVerdicts = 10_000;
+export const maxRememberedVerdicts = 10_000;
 
 interface ChangeProblem {
     code: EditVerdictCode;
@@ -55,25 +68,47 @@
         organisations: new Map(),
         keys: new Map(),
         verdicts: new Map(),
+        index: createConfigurationIndex(),
     };
 }
 
-function assign<Value>(map: Map<string, Value>, name: string, value: Value | undefined): Undo {
+type Entity<Value> = VersionedEntity<Value> | undefined;
+type Reindex<Value> = (index: ConfigurationIndex, before: Value | undefined, after: Value | undefined) => void;
+
+function assign<Value>(
+    map: Map<string, VersionedEntity<Value>>,
+    name: string,
+    entity: Entity<Value>,
+    reindex: (before: Value | undefined, after: Value | undefined) => void,
+): Undo {
     const before = map.get(name);
-    if (value === undefined) {
-        map.delete(name);
-    }
-    else {
-        map.set(name, value);
-    }
-    return () => {
-        if (before === undefined) {
+    const set = (from: Entity<Value>, to: Entity<Value>) => {
+        if (to === undefined) {
             map.delete(name);
         }
         else {
-            map.set(name, before);
+            map.set(name, to);
         }
+        reindex(from?.value, to?.value);
     };
+    set(before, entity);
+    return () => set(entity, before);
+}
+
+function bindReindex<Value>(configuration: Configuration, reindex: Reindex<Value>) {
+    return (before: Value | undefined, after: Value | undefined) => reindex(configuration.index, before, after);
+}
+
+function assignPlan(configuration: Configuration, name: string, entity: Entity<Plan>): Undo {
+    return assign(configuration.plans, name, entity, bindReindex(configuration, reindexPlan));
+}
+
+function assignOrganisation(configuration: Configuration, name: string, entity: Entity<Organisation>): Undo {
+    return assign(configuration.organisations, name, entity, bindReindex(configuration, reindexOrganisation));
+}
+
+function assignKey(configuration: Configuration, id: string, entity: Entity<Key>): Undo {
+    return assign(configuration.keys, id, entity, bindReindex(configuration, reindexKey));
 }
 
 function conflict(reason: string): ChangeProblem {
@@ -93,13 +128,8 @@
     return actual === expected ? undefined : conflict(`${entity} is at revision ${actual}, not ${expected}`);
 }
 
-function hasReference<Value>(entities: Map<string, VersionedEntity<Value>>, test: (value: Value) => boolean): boolean {
-    for (const entity of entities.values()) {
-        if (test(entity.value)) {
-            return true;
-        }
-    }
-    return false;
+function hasOrganisations(configuration: Configuration, plan: string): boolean {
+    return configuration.index.organisationCountByPlan.has(plan);
 }
 
 type ChangeHandlers = {
@@ -113,18 +143,24 @@
 const changeHandlers: ChangeHandlers = {
     "put-plan"(configuration, change, revision) {
         const current = configuration.plans.get(change.plan.name);
-        return checkRevision(current, change.revision, `plan ${change.plan.name}`)
-            ?? assign(configuration.plans, change.plan.name, { revision, value: change.plan });
+        const problem = checkRevision(current, change.revision, `plan ${change.plan.name}`);
+        if (problem !== undefined) {
+            return problem;
+        }
+        if (change.plan.open === true && hasOrganisations(configuration, change.plan.name)) {
+            return invalid(`plan ${change.plan.name} has organisations and cannot be open to all`);
+        }
+        return assignPlan(configuration, change.plan.name, { revision, value: change.plan });
     },
     "delete-plan"(configuration, change) {
         const problem = checkRevision(configuration.plans.get(change.name), change.revision, `plan ${change.name}`);
         if (problem !== undefined) {
             return problem;
         }
-        if (hasReference(configuration.organisations, organisation => organisation.plan === change.name)) {
+        if (hasOrganisations(configuration, change.name)) {
             return invalid(`plan ${change.name} still has organisations`);
         }
-        return assign(configuration.plans, change.name, undefined);
+        return assignPlan(configuration, change.name, undefined);
     },
     "put-organisation"(configuration, change, revision) {
         const { name, plan } = change.organisation;
@@ -139,7 +175,7 @@
         if (planEntity.value.open === true) {
             return invalid(`plan ${plan} is open to all and takes no organisations`);
         }
-        return assign(configuration.organisations, name, { revision, value: change.organisation });
+        return assignOrganisation(configuration, name, { revision, value: change.organisation });
     },
     "delete-organisation"(configuration, change) {
         const current = configuration.organisations.get(change.name);
@@ -147,10 +183,10 @@
         if (problem !== undefined) {
             return problem;
         }
-        if (hasReference(configuration.keys, key => key.organisation === change.name)) {
+        if (configuration.index.keysByOrganisation.has(change.name)) {
             return invalid(`organisation ${change.name} still has keys`);
         }
-        return assign(configuration.organisations, change.name, undefined);
+        return assignOrganisation(configuration, change.name, undefined);
     },
     "create-key"(configuration, change, revision) {
         if (configuration.keys.has(change.key.id)) {
@@ -159,11 +195,11 @@
         if (!configuration.organisations.has(change.key.organisation)) {
             return invalid(`organisation ${change.key.organisation} does not exist`);
         }
-        return assign(configuration.keys, change.key.id, { revision, value: change.key });
+        return assignKey(configuration, change.key.id, { revision, value: change.key });
     },
     "revoke-key"(configuration, change) {
         // Needs no revision: a revocation must never lose a race.
-        return assign(configuration.keys, change.id, undefined);
+        return assignKey(configuration, change.id, undefined);
     },
 };
 
@@ -177,6 +213,11 @@
 }
 
 function applyEdit(configuration: Configuration, edit: Edit, offset: number): EditVerdict {
+    // Within this distance no verdict has been forgotten, so a duplicate of the edit is always recognised. Without the
+    // limit a very late duplicate could create a revoked key again.
+    if (edit.baseOffset !== undefined && offset - edit.baseOffset >= maxRememberedVerdicts) {
+        return { code: editVerdict.invalid, offset, reason: "the edit was appended too long after it was made" };
+    }
     const undos: Undo[] = [];
     for (const change of edit.changes) {
         const outcome = applyChange(configuration, change, offset + 1);
@@ -220,3 +261,26 @@
     rememberVerdict(configuration, parsed.data.id, verdict);
     return verdict;
 }
+
+/**
+ * Replaces the whole content in place. Does nothing when `replacement` is not newer, so the configuration never
+ * reverts.
+ *
+ * @returns whether the content was replaced
+ */
+export function replaceConfiguration(configuration: Configuration, replacement: ConfigurationContent): boolean {
+    if (replacement.appliedOffset <= configuration.appliedOffset) {
+        return false;
+    }
+    const { plans, organisations, keys } = configuration;
+    keys.forEach((_entity, id) => assignKey(configuration, id, undefined));
+    organisations.forEach((_entity, name) => assignOrganisation(configuration, name, undefined));
+    plans.forEach((_entity, name) => assignPlan(configuration, name, undefined));
+    configuration.verdicts.clear();
+    replacement.plans.forEach(entity => assignPlan(configuration, entity.value.name, entity));
+    replacement.organisations.forEach(entity => assignOrganisation(configuration, entity.value.name, entity));
+    replacement.keys.forEach(entity => assignKey(configuration, entity.value.id, entity));
+    replacement.verdicts.forEach(([id, verdict]) => configuration.verdicts.set(id, verdict));
+    configuration.appliedOffset = replacement.appliedOffset;
+    return true;
+}
--- a/packages/configuration/src/edit.ts
+++ b/packages/configuration/src/edit.ts
@@ -68,6 +68,8 @@
 export const editSchema = z.strictObject({
     id: z.string().min(8).max(64),
     author: z.string().max(200).optional(),
+    /** Offset up to which the author had read the stream. An edit appended 10,000 records later is refused. */
+    baseOffset: z.number().int().nonnegative().optional(),
     changes: z.array(changeSchema).min(1),
 });
 
--- a/packages/platform/src/log-client.ts
+++ b/packages/platform/src/log-client.ts
@@ -20,6 +20,9 @@
     records: LogRecord[];
 }
 
+/** Range of offsets that the log keeps of a stream. */
+export type LogBounds = Pick<LogPage, "firstOffset" | "endOffset">;
+
 /** Client of the platform's append-only log service. */
 export interface LogClient {
     /**
@@ -36,6 +39,8 @@
         from: number,
         options?: { limit?: number; waitMs?: number; signal?: AbortSignal; },
     ): Promise<Result<LogPage, PlatformFailure>>;
+    /** Returns the offset of the oldest record kept and the offset of the next append. */
+    bounds(stream: string, signal?: AbortSignal): Promise<Result<LogBounds, PlatformFailure>>;
     close(): Promise<void>;
 }
 
@@ -53,7 +58,7 @@
 export function createLogClient(origin: string): LogClient {
     const dispatcher = new Agent({ connections: 8, connect: { timeout: 1_000 } });
 
-    return {
+    const client: LogClient = {
         async append(stream, value) {
             const path = `/streams/${encodeURIComponent(stream)}/records`;
             const answer = await callJson({
@@ -101,6 +106,12 @@
                     : err(new PlatformFailure("platform_bad_answer", "the log answered a read with a malformed page"));
             });
         },
+        async bounds(stream, signal) {
+            // No offset this high exists, so the page has no records and never fails as expired.
+            const page = await client.read(stream, Number.MAX_SAFE_INTEGER, { limit: 1, signal });
+            return page.map(({ firstOffset, endOffset }) => ({ firstOffset, endOffset }));
+        },
         close: () => dispatcher.destroy(),
     };
+    return client;
 }
--- /dev/null
+++ b/test/configuration/fold.test.ts
@@ -0,0 +1,120 @@
+import {
+    applyRecord,
+    createConfiguration,
+    parseSnapshot,
+    renderSnapshot,
+    replaceConfiguration,
+} from "@trefoilladder/configuration";
+import type { Change, Configuration, Edit } from "@trefoilladder/configuration";
+import fc from "fast-check";
+import { planOf, putPlan } from "./edits";
+
+const planName = fc.constantFrom("standard", "large", "public");
+const organisation = fc.constantFrom("laurel", "vipimo", "mosi");
+const keyId = fc.constantFrom("aaaaaaaa", "bbbbbbbb", "cccccccc");
+const revision = fc.integer({ min: 0, max: 12 });
+const change: fc.Arbitrary<Change> = fc.oneof(
+    fc.record({
+        kind: fc.constant("put-plan" as const),
+        revision,
+        plan: fc.record({ name: planName, open: fc.boolean(), ratePerSecond: fc.integer({ min: 1, max: 9 }) })
+            .map(({ name, ...options }) => planOf(name, options)),
+    }),
+    fc.record({ kind: fc.constant("delete-plan" as const), revision, name: planName }),
+    fc.record({
+        kind: fc.constant("put-organisation" as const),
+        revision,
+        organisation: fc.record({ name: organisation, plan: planName }),
+    }),
+    fc.record({ kind: fc.constant("delete-organisation" as const), revision, name: organisation }),
+    fc.record({
+        kind: fc.constant("create-key" as const),
+        key: fc.record({ id: keyId, organisation, secretHash: fc.constant("0".repeat(64)) }),
+    }),
+    fc.record({ kind: fc.constant("revoke-key" as const), id: keyId }),
+);
+const edits = fc.array(fc.array(change, { minLength: 1, maxLength: 4 }), { maxLength: 12 })
+    .map(lists => lists.map((changes, index): Edit => ({ id: `edit-${index}-id`, changes })));
+/** A stream in which racing operators append in any order, and some append the same edit again at any later time. */
+const stream = edits.chain(list =>
+    fc.array(fc.nat({ max: Math.max(0, list.length - 1) }), { maxLength: 40 })
+        .map(order => list.length === 0 ? [] : order.map((index, offset) => ({ offset, value: list[index]! })))
+);
+
+function fold(configuration: Configuration, records: readonly { offset: number; value: unknown; }[]): Configuration {
+    records.forEach(record => applyRecord(configuration, record));
+    return configuration;
+}
+
+function restore(text: string): Configuration {
+    const configuration = createConfiguration();
+    replaceConfiguration(configuration, parseSnapshot(text)._unsafeUnwrap());
+    return configuration;
+}
+
+describe("fold of the configuration stream", () => {
+    it("guards against a reader that starts from a snapshot and differs from one that read everything", () => {
+        fc.assert(
+            fc.property(stream, fc.nat(), (records, cut) => {
+                const at = records.length === 0 ? 0 : cut % records.length;
+                const whole = fold(createConfiguration(), records);
+                const resumed = fold(
+                    restore(renderSnapshot(fold(createConfiguration(), records.slice(0, at)))),
+                    records,
+                );
+                expect(renderSnapshot(resumed)).toBe(renderSnapshot(whole));
+                expect(resumed.index).toEqual(whole.index);
+            }),
+            { numRuns: 500 },
+        );
+    });
+
+    it("guards against a duplicate append that changes a verdict or the state", () => {
+        fc.assert(
+            fc.property(stream, records => {
+                const whole = fold(createConfiguration(), records);
+                const ids = new Set<string>();
+                const firsts = records.filter(({ value }) => ids.size < ids.add(value.id).size);
+                const once = createConfiguration();
+                firsts.forEach(record => applyRecord(once, record));
+                expect([...once.verdicts]).toEqual([...whole.verdicts]);
+                expect([...once.keys]).toEqual([...whole.keys]);
+                expect([...once.plans]).toEqual([...whole.plans]);
+            }),
+            { numRuns: 500 },
+        );
+    });
+
+    it("guards against a redelivered record or an older snapshot that reverts an edit", () => {
+        fc.assert(fc.property(stream, fc.nat(), (records, cut) => {
+            const older = fold(createConfiguration(), records.slice(0, cut % (records.length + 1)));
+            const whole = fold(createConfiguration(), records);
+            const before = renderSnapshot(whole);
+            replaceConfiguration(whole, parseSnapshot(renderSnapshot(older))._unsafeUnwrap());
+            expect(renderSnapshot(fold(whole, records))).toBe(before);
+        }));
+    });
+
+    it("guards against a late duplicate that creates a revoked key again after its verdict was forgotten", () => {
+        const configuration = createConfiguration();
+        const key = { id: "aaaaaaaa", organisation: "laurel", secretHash: "0".repeat(64) };
+        const create: Edit = { id: "create-key-1", baseOffset: 1, changes: [{ kind: "create-key", key }] };
+        const records: unknown[] = [
+            {
+                id: "lists-edit",
+                changes: [
+                    { kind: "put-plan", revision: 0, plan: planOf("standard") },
+                    { kind: "put-organisation", revision: 0, organisation: { name: "laurel", plan: "standard" } },
+                ],
+            },
+            create,
+            { id: "revoke-key-1", changes: [{ kind: "revoke-key", id: key.id }] },
+            ...Array.from({ length: 10_001 }, (_, index) => putPlan(`later-edit-${index}`, 99, planOf("large"))),
+            create,
+        ];
+        const verdicts = records.map((value, offset) => applyRecord(configuration, { offset, value }));
+        expect(verdicts[1]).toMatchObject({ code: "accepted" });
+        expect(verdicts.at(-1)).toMatchObject({ code: "invalid" });
+        expect(configuration.keys.size).toBe(0);
+    });
+});
