Add the operators' client

Cause: operators could only append whole lists blindly; a lost response, a racing edit or a lagging instance stayed unseen.

Change: the commands check, show, diff, apply, key create, key list, key revoke, status and histograms, with one exit code for each kind of failure. An edit carries the revisions that it replaces and an id derived from its changes and base offset. A YAML check shared with the settings places every mistake at its line and field.

--- /dev/null
+++ b/packages/client/src/index.ts
@@ -0,0 +1,11 @@
+export { clientSettingsSchema, resolveClientSettings } from "./client-settings";
+export type { ClientSettings } from "./client-settings";
+export { createEdit, submitEdit } from "./edit-submission";
+export type { SubmittedEdit } from "./edit-submission";
+export { ClientFailure, exitCode } from "./exit-code";
+export { findChanges } from "./list-difference";
+export { parseLists } from "./lists-file";
+export type { Lists } from "./lists-file";
+export { readConfiguration } from "./log-reader";
+export { statusSchema } from "./status-document";
+export type { StatusDocument } from "./status-document";
--- /dev/null
+++ b/packages/client/src/lists-file.ts
@@ -0,0 +1,78 @@
+import { organisationSchema, planSchema } from "@trefoilladder/configuration";
+import type { Organisation, Plan } from "@trefoilladder/configuration";
+import { checkYaml } from "@trefoilladder/settings";
+import type { YamlDocument, YamlMistake } from "@trefoilladder/settings";
+import { err, ok } from "neverthrow";
+import type { Result } from "neverthrow";
+import { z } from "zod";
+
+/** Schema of the operators' lists. */
+export const listsSchema = z.strictObject({
+    plans: z.array(planSchema),
+    organisations: z.array(organisationSchema),
+});
+
+/** The operators' lists. */
+export interface Lists {
+    plans: Plan[];
+    organisations: Organisation[];
+}
+
+function findDuplicates(names: readonly string[]): number[] {
+    const seen = new Set<string>();
+    return names.flatMap((name, index) => seen.size === seen.add(name).size ? [index] : []);
+}
+
+function checkPlans({ value, mistakeAt }: YamlDocument<Lists>): YamlMistake[] {
+    const mistakes = findDuplicates(value.plans.map(({ name }) => name))
+        .map(index => mistakeAt(["plans", index, "name"], `plan ${value.plans[index]!.name} is listed twice`));
+    value.plans.forEach(({ routes }, plan) => {
+        for (const index of findDuplicates(routes.map(({ name }) => name))) {
+            mistakes.push(
+                mistakeAt(["plans", plan, "routes", index, "name"], `route ${routes[index]!.name} is listed twice`),
+            );
+        }
+        const taken = new Set<string>();
+        routes.forEach(({ methods, pathPrefix }, index) => {
+            for (const method of new Set(methods)) {
+                const served = `${method} ${pathPrefix}`;
+                if (taken.has(served)) {
+                    mistakes.push(
+                        mistakeAt(
+                            ["plans", plan, "routes", index, "pathPrefix"],
+                            `an earlier route of the plan takes ${served}`,
+                        ),
+                    );
+                }
+                taken.add(served);
+            }
+        });
+    });
+    return mistakes;
+}
+
+function checkOrganisations({ value, mistakeAt }: YamlDocument<Lists>): YamlMistake[] {
+    const plans = new Map(value.plans.map(plan => [plan.name, plan]));
+    const mistakes = findDuplicates(value.organisations.map(({ name }) => name)).map(index =>
+        mistakeAt(["organisations", index, "name"], `organisation ${value.organisations[index]!.name} is listed twice`)
+    );
+    value.organisations.forEach(({ plan }, index) => {
+        if (!plans.has(plan)) {
+            mistakes.push(mistakeAt(["organisations", index, "plan"], `plan ${plan} is not listed`));
+        }
+        else if (plans.get(plan)!.open === true) {
+            mistakes.push(
+                mistakeAt(["organisations", index, "plan"], `plan ${plan} is open to all and takes no organisations`),
+            );
+        }
+    });
+    return mistakes;
+}
+
+/** Reads the lists from YAML; the failure lists every mistake with line and field. */
+export function parseLists(text: string): Result<Lists, YamlMistake[]> {
+    return checkYaml(text, listsSchema).andThen(document => {
+        const mistakes = [...checkPlans(document), ...checkOrganisations(document)];
+        return mistakes.length === 0 ? ok(document.value) : err(mistakes.sort((a, b) => a.line - b.line));
+    });
+}
--- /dev/null
+++ b/packages/settings/src/yaml-document.ts
@@ -0,0 +1,72 @@
+import { err, ok } from "neverthrow";
+import type { Result } from "neverthrow";
+import { isMap, isNode, isScalar, LineCounter, parseDocument } from "yaml";
+import type { Document } from "yaml";
+import type { z } from "zod";
+
+/** One mistake in a YAML file. */
+export interface YamlMistake {
+    /** Path of the field, joined by dots. */
+    path: string;
+    line: number;
+    message: string;
+}
+
+/** A checked YAML document, and the means to place further mistakes in it. */
+export interface YamlDocument<Value> {
+    value: Value;
+    /** Returns a mistake at a path. */
+    mistakeAt(path: readonly PropertyKey[], message: string): YamlMistake;
+}
+
+type Located = Pick<YamlMistake, "path" | "line">;
+
+function keyOffset(parent: unknown, key: PropertyKey): number | undefined {
+    const pair = isMap(parent)
+        ? parent.items.find(item => isScalar(item.key) && item.key.value === key)
+        : undefined;
+    return pair !== undefined && isScalar(pair.key) ? pair.key.range?.[0] : undefined;
+}
+
+function locate(document: Document, lines: LineCounter, path: readonly PropertyKey[]): Located {
+    // A missing field has no line of its own; the closest enclosing field that exists has one.
+    for (let length = path.length; length > 0; length--) {
+        const parent = length === 1 ? document.contents : document.getIn(path.slice(0, length - 1), true);
+        const node = document.getIn(path.slice(0, length), true);
+        const offset = keyOffset(parent, path[length - 1]!) ?? (isNode(node) ? node.range?.[0] : undefined);
+        if (offset !== undefined) {
+            return { path: path.join("."), line: lines.linePos(offset).line };
+        }
+    }
+    return { path: path.join("."), line: 1 };
+}
+
+/** Parses YAML and checks it against a schema; the failure lists every mistake with its line, in line order. */
+export function checkYaml<Schema extends z.ZodType>(
+    text: string,
+    schema: Schema,
+): Result<YamlDocument<z.infer<Schema>>, YamlMistake[]> {
+    const lines = new LineCounter();
+    const document = parseDocument(text, { lineCounter: lines });
+    if (document.errors.length > 0) {
+        return err(document.errors.map(error => ({
+            path: "",
+            line: lines.linePos(error.pos[0]).line,
+            message: error.message.split("\n", 1)[0]!,
+        })));
+    }
+    const mistakeAt = (path: readonly PropertyKey[], message: string) => ({
+        ...locate(document, lines, path),
+        message,
+    });
+    const parsed = schema.safeParse(document.toJS());
+    if (parsed.success) {
+        return ok({ value: parsed.data, mistakeAt });
+    }
+    const mistakes = parsed.error.issues.flatMap(issue =>
+        issue.code === "unrecognized_keys"
+            ? issue.keys.map(key => mistakeAt([...issue.path, key], "unknown field"))
+            : [mistakeAt(issue.path, issue.message)]
+    );
+    return err(mistakes.sort((a, b) => a.line - b.line));
+}
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -1,2 +1,3 @@
+export { decodeHistogram, encodeHistograms, mergeHistograms } from "./histogram-transfer";
 export { createTelemetry } from "./telemetry";
 export type { LogFields, Telemetry, TelemetryOptions } from "./telemetry";
--- a/scripts/start.mjs
+++ b/scripts/start.mjs
@@ -67,10 +67,10 @@
     for (const [index, { port, innerPort }] of entries.entries()) {
         await register({ id: `entry-${index}`, role: "entry", port, innerPort, domain: domains[index] });
     }
-    const client = ["dist/trefoilladder.js", "--log", logUrl];
+    const client = ["dist/trefoilladder.js", "--log", logUrl, "--list", listUrl, "--json"];
     await run(process.execPath, [...client, "apply", "examples/lists.yaml"]);
-    const { stdout } = await run(process.execPath, [...client, "create-key", "laurel"]);
-    const key = stdout.trim();
+    const { stdout } = await run(process.execPath, [...client, "key", "create", "laurel"]);
+    const { key } = JSON.parse(stdout);
     const url = `http://127.0.0.1:${entries[0].port}/dossier/nominees/17`;
     const headers = { authorization: `Bearer ${key}` };
     await waitFor(async () => (await fetch(url, { headers })).ok);
