Complete the settings schema

Cause: the settings held only the addresses, and a mistake in a missing or unknown field had no line.

Change: services, drain time, membership timings, StatsD, log level and TLS files, each with its unit in the name, a description and a default. Contradictions between fields are mistakes too. renderDefaultSettings prints every field with its description and default as YAML.

Result: npx jest test/settings passes; the printed defaults read back as the defaults in force.

--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -1,5 +1,6 @@
-export { loadSettings, settingsSchema } from "./settings";
-export type { Settings } from "./settings";
+export { renderDefaultSettings } from "./default-settings";
+export { loadSettings, serviceSettings, settingsSchema } from "./settings";
+export type { ServiceSettings, Settings } from "./settings";
 export { SettingsFailure } from "./settings-failure";
 export type { SettingsMistake } from "./settings-failure";
 export { checkYaml } from "./yaml-document";
--- a/packages/settings/src/settings-failure.ts
+++ b/packages/settings/src/settings-failure.ts
@@ -1,12 +1,8 @@
 import { Failure } from "@trefoilladder/failures";
+import type { YamlMistake } from "./yaml-document";
 
 /** One mistake in a settings file. */
-export interface SettingsMistake {
-    /** Path of the field, joined by dots. */
-    path: string;
-    line: number;
-    message: string;
-}
+export type SettingsMistake = YamlMistake;
 
 /** Failure to read settings; carries every mistake found. */
 export class SettingsFailure extends Failure<"settings_unreadable" | "settings_invalid"> {
--- a/packages/settings/src/settings.ts
+++ b/packages/settings/src/settings.ts
@@ -1,32 +1,118 @@
 import { err, ok } from "neverthrow";
 import type { Result } from "neverthrow";
 import { readFileSync } from "node:fs";
-import { LineCounter, parseDocument } from "yaml";
 import { z } from "zod";
 import { SettingsFailure } from "./settings-failure";
-import type { SettingsMistake } from "./settings-failure";
+import { checkYaml } from "./yaml-document";
 
 const port = z.number().int().min(1).max(65_535);
-const listener = z.strictObject({ address: z.string().default("127.0.0.1"), port });
+const listener = z.strictObject({
+    address: z.string().min(1).default("127.0.0.1").describe("IP address to listen on."),
+    port: port.describe("TCP port."),
+});
+const file = z.string().min(1);
+const positiveMs = z.number().int().positive();
+
+const certificate = {
+    certificateFile: file.describe("Certificate chain (PEM)."),
+    keyFile: file.describe("Private key (PEM)."),
+};
+
+const serviceSchema = z.strictObject({
+    name: z.string().regex(/^[a-z0-9][a-z0-9_.-]{0,62}$/).describe("Name of the service, as in the routes."),
+    floorFraction: z.number().gt(0).max(1).default(0.7)
+        .describe("Fraction of the healthy capacity that ejection leaves in use."),
+    connectionsPerTarget: z.number().int().positive().default(8)
+        .describe("Connections of this instance to one target; 48 instances stay within 400."),
+    slotsPerTarget: z.number().int().positive().default(6).describe("Requests that a target runs at the same time."),
+    defaultDeadlineMs: positiveMs.default(10_000).describe("Deadline of a request that names none, in milliseconds."),
+    maxDeadlineMs: positiveMs.default(60_000).describe("Longest deadline of a request, in milliseconds."),
+}).refine(({ defaultDeadlineMs, maxDeadlineMs }) => defaultDeadlineMs <= maxDeadlineMs, {
+    path: ["defaultDeadlineMs"],
+    message: "is longer than maxDeadlineMs",
+});
+
+const membershipSchema = z.strictObject({
+    pullIntervalMs: positiveMs.default(200).describe("Time between two pulls of rows, in milliseconds."),
+    pullPeers: z.number().int().positive().default(2).describe("Number of peers asked in one pull."),
+    pullTimeoutMs: positiveMs.default(500).describe("Time limit of one pull, in milliseconds."),
+    leaseMs: positiveMs.default(1_500)
+        .describe("Age up to which a row counts for the contact lease, in milliseconds; the same on every instance."),
+    fenceAfterMs: positiveMs.default(1_500)
+        .describe(
+            "Age of the newest row after which an incarnation is fenced, in milliseconds; the same on every instance.",
+        ),
+    newMemberSeconds: z.number().positive().default(30)
+        .describe("Time on the list before the row of a new member counts, in seconds."),
+    missingMemberSeconds: z.number().positive().default(30)
+        .describe("Time for which a member that disappeared from the list still counts, in seconds."),
+}).refine(({ pullIntervalMs, leaseMs }) => pullIntervalMs * 3 <= leaseMs, {
+    path: ["leaseMs"],
+    message: "is shorter than three pull intervals, so that one lost pull would end the lease",
+});
+
+const tlsSchema = z.strictObject({
+    callers: z.strictObject(certificate).optional().describe("TLS of the listener for callers."),
+    inner: z.strictObject({
+        ...certificate,
+        authorityFile: file.describe("Certificates of the authority that signs every instance (PEM)."),
+    }).optional().describe("Mutual TLS between the entry instances."),
+    targets: z.strictObject({
+        authorityFile: file.describe("Certificates of the authority that signs the targets (PEM)."),
+        certificateFile: file.optional().describe("Client certificate chain (PEM)."),
+        keyFile: file.optional().describe("Private key of the client certificate (PEM)."),
+    }).optional().describe("TLS of the connections to the targets."),
+});
 
 /** Schema of an entry instance's settings. */
 export const settingsSchema = z.strictObject({
-    /** Id of this instance on the platform's list. */
-    instanceId: z.string().regex(/^[A-Za-z0-9][A-Za-z0-9.-]{0,62}$/),
-    /** Failure domain that this instance runs in. */
-    domain: z.string().min(1),
-    /** Listener for callers. */
-    listen: listener,
-    /** Listener for the other entry instances. */
-    inner: listener,
-    /** Base URL of the platform's log service. */
-    logUrl: z.url(),
-    /** Base URL of the platform's instance list. */
-    instanceListUrl: z.url(),
+    instanceId: z.string().regex(/^[A-Za-z0-9][A-Za-z0-9.-]{0,62}$/)
+        .describe("Id of this instance on the platform's list."),
+    domain: z.string().min(1).describe("Failure domain that this instance runs in."),
+    listen: listener.describe("Listener for callers."),
+    inner: listener.describe("Listener for the other entry instances and the operators' client."),
+    logUrl: z.url().describe("Base URL of the platform's log service."),
+    instanceListUrl: z.url().describe("Base URL of the platform's instance list."),
+    services: z.array(serviceSchema).default([])
+        .describe("Services that differ from the defaults; the defaults hold for every other service."),
+    drainSeconds: z.number().nonnegative().default(5)
+        .describe("Time between the report of unready and the end of new requests at a planned stop, in seconds."),
+    snapshotMaxAgeSeconds: z.number().positive().default(1_800)
+        .describe("Age at which a snapshot is written again; half of the log's retention time, in seconds."),
+    logLevel: z.enum(["debug", "info", "warn", "error", "silent"]).default("info")
+        .describe("Lowest level of the log lines that are written."),
+    membership: membershipSchema.prefault({}).describe("Timings between the entry instances."),
+    statsd: z.strictObject({
+        host: z.string().min(1).describe("Host of the StatsD server."),
+        port: port.default(8_125).describe("UDP port."),
+    }).optional().describe("Destination of the metrics; they stay in the process without one."),
+    tls: tlsSchema.optional().describe("TLS files; connections are plain without them."),
+}).superRefine(({ services, listen, inner }, context) => {
+    const names = new Set<string>();
+    services.forEach(({ name }, index) => {
+        if (names.has(name)) {
+            context.addIssue({ code: "custom", path: ["services", index, "name"], message: `${name} is listed twice` });
+        }
+        names.add(name);
+    });
+    if (listen.port === inner.port && listen.address === inner.address) {
+        context.addIssue({
+            code: "custom",
+            path: ["inner", "port"],
+            message: "is the port of the listener for callers",
+        });
+    }
 });
 
 /** Settings of an entry instance, with defaults filled in. */
 export type Settings = z.infer<typeof settingsSchema>;
+/** Settings of a service, with defaults filled in. */
+export type ServiceSettings = Settings["services"][number];
+
+/** Returns the settings of a service; the defaults for one that is not listed. */
+export function serviceSettings(settings: Settings, name: string): ServiceSettings {
+    return settings.services.find(service => service.name === name) ?? serviceSchema.parse({ name });
+}
 
 /** Reads and checks a settings file; the failure lists every mistake with its line. */
 export function loadSettings(path: string): Result<Settings, SettingsFailure> {
@@ -37,21 +123,8 @@
     catch {
         return err(new SettingsFailure("settings_unreadable", `cannot read ${path}`, []));
     }
-    const lines = new LineCounter();
-    const document = parseDocument(text, { lineCounter: lines });
-    const mistakes: SettingsMistake[] = document.errors.map(error => ({
-        path: "",
-        line: lines.linePos(error.pos[0]).line,
-        message: error.message,
-    }));
-    const parsed = settingsSchema.safeParse(document.toJS());
-    if (mistakes.length === 0 && parsed.success) {
-        return ok(parsed.data);
-    }
-    for (const issue of parsed.error?.issues ?? []) {
-        const node = document.getIn(issue.path as unknown[], true) as { range?: [number, number, number]; } | undefined;
-        const line = node?.range === undefined ? 1 : lines.linePos(node.range[0]).line;
-        mistakes.push({ path: issue.path.join("."), line, message: issue.message });
-    }
-    return err(new SettingsFailure("settings_invalid", `${path} has ${mistakes.length} mistakes`, mistakes));
+    return checkYaml(text, settingsSchema).match(
+        ({ value }) => ok(value),
+        mistakes => err(new SettingsFailure("settings_invalid", `${path} has ${mistakes.length} mistakes`, mistakes)),
+    );
 }
--- /dev/null
+++ b/test/settings/settings.test.ts
@@ -0,0 +1,84 @@
+import {
+    checkYaml,
+    loadSettings,
+    renderDefaultSettings,
+    serviceSettings,
+    settingsSchema,
+} from "@trefoilladder/settings";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { parse } from "yaml";
+
+const required = {
+    instanceId: "entry-0",
+    domain: "a",
+    listen: { port: 8_080 },
+    inner: { port: 8_081 },
+    logUrl: "http://127.0.0.1:1",
+    instanceListUrl: "http://127.0.0.1:2",
+};
+const requiredLines = Object.entries(required).map(([name, value]) => `${name}: ${JSON.stringify(value)}`);
+
+function mistakesOf(...lines: string[]): { path: string; line: number; message: string; }[] {
+    return checkYaml([...requiredLines, ...lines].join("\n"), settingsSchema)._unsafeUnwrapErr();
+}
+
+describe("settings", () => {
+    it("guards against a mistake that hides the others or has no line", () => {
+        const mistakes = mistakesOf(
+            "drainSecond: 5",
+            "membership:",
+            "  leaseMs: never",
+            "  pullPeers: 0",
+            "services:",
+            "  - name: dossier",
+            "    floorFraction: 1.5",
+        );
+        expect(mistakes.map(({ line, path }) => `${line} ${path}`)).toEqual([
+            "7 drainSecond",
+            "9 membership.leaseMs",
+            "10 membership.pullPeers",
+            "13 services.0.floorFraction",
+        ]);
+    });
+
+    it("guards against a missing field or broken YAML that passes or stops the process without a line", () => {
+        expect(checkYaml("domain: a\n", settingsSchema)._unsafeUnwrapErr().map(({ path }) => path)).toContain("listen");
+        expect(checkYaml("", settingsSchema).isErr()).toBe(true);
+        expect(new Set(mistakesOf("statsd: { host: [").map(({ line }) => line))).toEqual(new Set([7]));
+        const directory = mkdtempSync(join(tmpdir(), "trefoilladder-settings-"));
+        const path = join(directory, "entry.yaml");
+        writeFileSync(path, "instanceId: entry-0\n");
+        expect(loadSettings(path)._unsafeUnwrapErr()).toMatchObject({ code: "settings_invalid" });
+        rmSync(directory, { recursive: true });
+        expect(loadSettings(path)._unsafeUnwrapErr()).toMatchObject({ code: "settings_unreadable" });
+    });
+
+    it("guards against settings that contradict each other", () => {
+        expect(mistakesOf("services: [{ name: dossier }, { name: dossier }]")).toMatchObject([{
+            path: "services.1.name",
+        }]);
+        expect(mistakesOf("services: [{ name: dossier, maxDeadlineMs: 5 }]"))
+            .toMatchObject([{ path: "services.0.defaultDeadlineMs" }]);
+        expect(mistakesOf("membership: { pullIntervalMs: 600 }")).toMatchObject([{ path: "membership.leaseMs" }]);
+        expect(
+            checkYaml(
+                [...requiredLines.slice(0, 3), "inner: { port: 8080 }", ...requiredLines.slice(4)].join("\n"),
+                settingsSchema,
+            )
+                ._unsafeUnwrapErr(),
+        ).toMatchObject([{ path: "inner.port" }]);
+    });
+
+    it("guards against printed defaults that differ from those in force or leave a field out", () => {
+        const text = renderDefaultSettings();
+        const settings = settingsSchema.parse(required);
+        expect(settingsSchema.parse({ ...parse(text), ...required })).toEqual(settings);
+        const names = [...Object.keys(settingsSchema.shape), ...Object.keys(settings.membership)];
+        expect(names.filter(name => !new RegExp(`^(# )?\\s*${name}:`, "m").test(text))).toEqual([]);
+        const service = serviceSettings(settings, "archive");
+        expect(service).toMatchObject({ name: "archive", slotsPerTarget: 6 });
+        Object.entries(service).slice(1).forEach(([name, value]) => expect(text).toContain(`#   ${name}: ${value}`));
+    });
+});
