Redact keys in telemetry and bound its series

Cause: a key put into a field or tag by mistake was written as it came, and every new tag value made a new series.

Change: log fields, tags and organisation names are redacted when they look like a key or its secret. StatsD packets are batched, and a StatsD failure is counted.

--- a/packages/telemetry/src/telemetry.ts
+++ b/packages/telemetry/src/telemetry.ts
@@ -1,9 +1,12 @@
-import { build as buildHistogram } from "hdr-histogram-js";
 import type { Histogram } from "hdr-histogram-js";
 import { StatsD } from "hot-shots";
 import log from "loglevel";
+import { createHistogram } from "./histogram-transfer";
+import { redactKeys } from "./redaction";
+import { createTagLimit, otherValue } from "./tag-limit";
+import type { Tags } from "./tag-limit";
 
-/** Fields of one log line. Keys and bodies are never logged. */
+/** Fields of one log line. Keys and bodies do not belong here; what looks like a key is redacted. */
 export type LogFields = Record<string, string | number | boolean | undefined>;
 
 /** Options of the telemetry. */
@@ -36,21 +39,49 @@
     close(): void;
 }
 
-/** Organisations beyond this number share one histogram and tag, which bounds memory and tag cardinality. */
+/** Organisations beyond this number share the histograms of "other". Each histogram takes about 20 KB. */
 const maxTrackedOrganisations = 1_000;
-const otherOrganisations = "other";
+/** Distinct values of one tag of a metric; a further value counts as "other". */
+const maxTagValues = 1_000;
+/** Series of all metrics together, which bounds the memory when tags combine. */
+const maxSeries = 20_000;
+// One datagram within the usual path MTU.
+const statsdBufferBytes = 1_400;
 
 /** Creates the telemetry of a process. */
 export function createTelemetry(options: TelemetryOptions): Telemetry {
     const logger = log.getLogger(`trefoilladder-${options.instance}`);
     logger.setLevel(options.level ?? "info", false);
-    const statsd = options.statsd === undefined
-        ? undefined
-        : new StatsD({ ...options.statsd, prefix: "trefoilladder.", globalTags: { instance: options.instance } });
     const values = new Map<string, number>();
     const histograms = new Map<string, Histogram>();
+    const trackedOrganisations = new Set<string>();
+    const tagLimit = createTagLimit(maxTagValues);
+    const statsd = options.statsd === undefined
+        ? undefined
+        : new StatsD({
+            ...options.statsd,
+            prefix: "trefoilladder.",
+            globalTags: { instance: options.instance },
+            maxBufferSize: statsdBufferBytes,
+            errorHandler: () => add("telemetry.statsd_failures", 1),
+        });
 
-    function seriesName(name: string, tags?: Record<string, string>): string {
+    /** Returns whether a series may be written: it is known, or the number of series has not reached its limit. */
+    function mayWrite(series: string): boolean {
+        if (values.has(series) || values.size < maxSeries) {
+            return true;
+        }
+        values.set("telemetry.dropped_series", (values.get("telemetry.dropped_series") ?? 0) + 1);
+        return false;
+    }
+
+    function add(series: string, value: number): void {
+        if (mayWrite(series)) {
+            values.set(series, (values.get(series) ?? 0) + value);
+        }
+    }
+
+    function seriesName(name: string, tags: Tags | undefined): string {
         if (tags === undefined) {
             return name;
         }
@@ -58,39 +89,48 @@
     }
 
     function write(level: "info" | "warn", event: string, fields: LogFields): void {
-        const line = { time: new Date().toISOString(), level, event, instance: options.instance, ...fields };
-        logger[level](JSON.stringify(line));
+        const line = Object.entries({ event, instance: options.instance, ...fields })
+            .map(([name, value]) => [redactKeys(name), typeof value === "string" ? redactKeys(value) : value]);
+        logger[level](JSON.stringify({ time: new Date().toISOString(), level, ...Object.fromEntries(line) }));
     }
 
-    function histogramOf(organisation: string, requestClass: string): Histogram {
-        const wanted = `${organisation}/${requestClass}`;
-        const known = histograms.get(wanted);
-        if (known !== undefined) {
-            return known;
+    function trackedName(organisation: string): string {
+        if (trackedOrganisations.has(organisation)) {
+            return organisation;
         }
-        const name = histograms.size < maxTrackedOrganisations ? wanted : `${otherOrganisations}/${requestClass}`;
-        const existing = histograms.get(name);
-        if (existing !== undefined) {
-            return existing;
+        const clean = redactKeys(organisation);
+        if (!trackedOrganisations.has(clean)) {
+            if (trackedOrganisations.size >= maxTrackedOrganisations) {
+                return otherValue;
+            }
+            trackedOrganisations.add(clean);
+        }
+        return clean;
+    }
+
+    function histogramOf(organisation: string, requestClass: string): Histogram {
+        const name = `${trackedName(organisation)}/${requestClass}`;
+        let histogram = histograms.get(name);
+        if (histogram === undefined) {
+            histogram = createHistogram();
+            histograms.set(name, histogram);
         }
-        const histogram = buildHistogram({
-            lowestDiscernibleValue: 1,
-            highestTrackableValue: 60_000_000,
-            numberOfSignificantValueDigits: 2,
-        });
-        histograms.set(name, histogram);
         return histogram;
     }
 
     return {
         count(name, tags, value = 1) {
-            const series = seriesName(name, tags);
-            values.set(series, (values.get(series) ?? 0) + value);
-            statsd?.increment(name, value, tags);
+            const bounded = tags === undefined ? undefined : tagLimit.bound(name, tags);
+            add(seriesName(name, bounded), value);
+            statsd?.increment(name, value, bounded);
         },
         gauge(name, value, tags) {
-            values.set(seriesName(name, tags), value);
-            statsd?.gauge(name, value, tags);
+            const bounded = tags === undefined ? undefined : tagLimit.bound(name, tags);
+            const series = seriesName(name, bounded);
+            if (mayWrite(series)) {
+                values.set(series, value);
+            }
+            statsd?.gauge(name, value, bounded);
         },
         recordDuration(organisation, requestClass, ms) {
             histogramOf(organisation, requestClass).recordValue(Math.max(1, Math.round(ms * 1000)));
