Cut the per-request cost of the request path

Cause: an abort controller for each attempt and each request, a WeakMap entry for each request and two timers for each attempt took a third of the CPU time (trial, own script, busy machine).

Change: signals are created when they are first read, the exchange is a property of the socket, one lazily re-armed timer serves an attempt, recent request ids are kept in two generations.

--- a/packages/proxy/src/exchange.ts
+++ b/packages/proxy/src/exchange.ts
@@ -10,8 +10,10 @@
     receivedAt: number;
     /** Monotonic time in milliseconds at which the deadline ends. */
     deadlineAt: number;
-    /** Aborts when the caller goes away. */
-    caller: AbortController;
+    /** Whether the caller has gone before the end of the response. */
+    callerGone: boolean;
+    /** Aborts when the caller goes away; created when it is first read, because most requests need none. */
+    readonly signal: AbortSignal;
     /** Ends the attempt in progress when the caller goes away. */
     onCallerGone?: () => void;
     /** Whether a byte may have reached a target that did not refuse the request. */
@@ -20,11 +22,15 @@
     extraHeaders: string[];
 }
 
-const exchanges = new WeakMap<Socket, Exchange>();
+/** Reason of the abort; a shared one saves the stack trace that a default reason takes each time. */
+const callerGone = new Error("the caller went away");
+/** Property of a caller's socket that holds its exchange; a WeakMap entry for each request costs garbage collection. */
+const exchangeKey = Symbol("exchange");
+type CallerSocket = Socket & { [exchangeKey]?: Exchange; };
 
 /** Returns the exchange in progress on a caller's connection. */
 export function exchangeOn(socket: Socket): Exchange | undefined {
-    return exchanges.get(socket);
+    return (socket as CallerSocket)[exchangeKey];
 }
 
 /** Starts an exchange and watches for the end of the caller's connection. */
@@ -34,24 +40,35 @@
     requestId: string,
     now: number,
 ): Exchange {
+    let controller: AbortController | undefined;
     const exchange: Exchange = {
         requestId,
         incoming,
         outgoing,
         receivedAt: now,
         deadlineAt: now,
-        caller: new AbortController(),
+        callerGone: false,
+        get signal() {
+            if (controller === undefined) {
+                controller = new AbortController();
+                if (exchange.callerGone) {
+                    controller.abort(callerGone);
+                }
+            }
+            return controller.signal;
+        },
         sent: false,
         extraHeaders: [],
     };
-    const socket = incoming.socket;
-    exchanges.set(socket, exchange);
+    const socket: CallerSocket = incoming.socket;
+    socket[exchangeKey] = exchange;
     outgoing.once("close", () => {
-        if (exchanges.get(socket) === exchange) {
-            exchanges.delete(socket);
+        if (socket[exchangeKey] === exchange) {
+            socket[exchangeKey] = undefined;
         }
         if (!outgoing.writableFinished) {
-            exchange.caller.abort();
+            exchange.callerGone = true;
+            controller?.abort(callerGone);
             exchange.onCallerGone?.();
         }
     });
--- a/packages/proxy/src/forwarding.ts
+++ b/packages/proxy/src/forwarding.ts
@@ -102,6 +102,7 @@
         let size = 0;
         let lastByteAt = dispatchedAt;
         let timer: NodeJS.Timeout | undefined;
+        let firesAt = 0;
 
         function settle(outcome: AttemptOutcome, result: AttemptResult): void {
             if (settled) {
@@ -165,8 +166,13 @@
             }
         }
 
+        /** Makes the timer fire at a time or earlier; a timer that fires too early arms itself again. */
         function arm(at: number): void {
+            if (timer !== undefined && firesAt <= at) {
+                return;
+            }
             clearTimeout(timer);
+            firesAt = at;
             timer = setTimeout(onTimer, Math.max(1, Math.ceil(Math.min(at, exchange.deadlineAt) - clock.now())));
         }
 
@@ -176,6 +182,7 @@
         }
 
         function onTimer(): void {
+            timer = undefined;
             const now = clock.now();
             const quietMs = now - (head === undefined ? startedAt : lastByteAt);
             const stalled = !paused && quietMs >= stallLimit() - 1;
@@ -336,7 +343,7 @@
                 }
             };
         }
-        if (outgoing.destroyed && exchange.caller.signal.aborted) {
+        if (exchange.callerGone) {
             exchange.onCallerGone();
             if (settled) {
                 return;
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -153,7 +153,7 @@
             }
             const claim = yield* (await register.claim(key, `${request.method} ${request.url}`, {
                 deadlineAt: exchange.deadlineAt,
-                signal: exchange.caller.signal,
+                signal: exchange.signal,
             })).mapErr(problemOfKey);
             if (claim.kind === "answered") {
                 // The wait may have been long enough for a revocation.
--- a/packages/proxy/src/recent-requests.ts
+++ b/packages/proxy/src/recent-requests.ts
@@ -8,20 +8,23 @@
     isOther(answeredId: string | string[] | undefined, requestId: string): boolean;
 }
 
-/** Creates the memory of the last `capacity` request ids. */
+/**
+ * Creates the memory of at least the last `capacity` request ids. Two generations replace each other, because dropping
+ * the oldest entry of one large set costs a scan of its deleted slots.
+ */
 export function createRecentRequests(capacity = 10_000): RecentRequests {
-    const ids = new Set<string>();
+    let current = new Set<string>();
+    let previous = new Set<string>();
     return {
         add(requestId) {
-            ids.add(requestId);
-            if (ids.size > capacity) {
-                for (const oldest of ids) {
-                    ids.delete(oldest);
-                    break;
-                }
+            if (current.size >= capacity) {
+                previous = current;
+                current = new Set();
             }
+            current.add(requestId);
         },
         isOther: (answeredId, requestId) =>
-            typeof answeredId === "string" && answeredId !== requestId && ids.has(answeredId),
+            typeof answeredId === "string" && answeredId !== requestId
+            && (current.has(answeredId) || previous.has(answeredId)),
     };
 }
--- a/packages/proxy/src/request-run.ts
+++ b/packages/proxy/src/request-run.ts
@@ -65,7 +65,6 @@
 ): Promise<Result<Delivery, Problem>> {
     const { configuration, quota, router, clock, options, budget } = parts;
     const idempotent = isIdempotent(grant.route, request.method);
-    const signal = exchange.caller.signal;
     const excluded = new Set<string>();
     let attempts = 0;
     /** Whether an earlier attempt may have run the request. */
@@ -85,13 +84,15 @@
             : problem;
     }
 
-    async function acquire(acquireSignal: AbortSignal): Promise<Result<Attempt, Problem>> {
+    async function acquire(caller: { readonly signal: AbortSignal; }): Promise<Result<Attempt, Problem>> {
         const acquired = await router.acquire({
             service: grant.route.service,
             organisation: grant.organisation,
             deadlineAt: exchange.deadlineAt,
             excluded,
-            signal: acquireSignal,
+            get signal() {
+                return caller.signal;
+            },
         });
         return acquired.mapErr(failure => notRun(failure.code, failure.message, 1_000));
     }
@@ -126,7 +127,7 @@
         };
 
     function canRetry(body: RequestBody): boolean {
-        return attempts < options.maxAttempts && !signal.aborted && clock.now() < exchange.deadlineAt
+        return attempts < options.maxAttempts && !exchange.callerGone && clock.now() < exchange.deadlineAt
             && (body.stream === undefined || !exchange.sent);
     }
 
@@ -137,7 +138,7 @@
     async function tryOnce(attempt: Attempt, body: RequestBody): Promise<AttemptResult> {
         attempts += 1;
         excluded.add(attempt.target.id);
-        const reservation = new AbortController();
+        let reservation: AbortController | undefined;
         let finished = false;
         const context: ForwardingContext = {
             exchange,
@@ -150,7 +151,8 @@
             recheck: check,
             mayRetry: () => idempotent && canRetry(body) && budget.allows(),
             async reserveNext(wanted) {
-                const next = await acquire(reservation.signal);
+                reservation = new AbortController();
+                const next = await acquire(reservation);
                 if (next.isErr()) {
                     return false;
                 }
@@ -166,14 +168,14 @@
         };
         const result = await forwardOnce(attempt, context);
         finished = true;
-        reservation.abort();
+        reservation?.abort();
         return result;
     }
 
     async function attemptUntilDone(body: RequestBody): Promise<Result<Delivery, Problem>> {
         let otherwise: { response: TargetResponse; } | { problem: Problem; } | undefined;
         for (;;) {
-            const acquired = reserved === undefined ? await acquire(signal) : ok(reserved);
+            const acquired = reserved === undefined ? await acquire(exchange) : ok(reserved);
             reserved = undefined;
             if (acquired.isErr()) {
                 return otherwise === undefined ? err(truthful(acquired.error)) : endWith(otherwise);
@@ -217,7 +219,9 @@
             ratePerSecond: grant.plan.ratePerSecond,
             burst: grant.plan.burst,
             deadlineAt: exchange.deadlineAt,
-            signal,
+            get signal() {
+                return exchange.signal;
+            },
         })).mapErr(refusal => notRun(refusal.code, refusal.message, refusal.retryAfterMs));
         yield* check();
         return attemptUntilDone(body);
--- a/packages/proxy/src/response-relay.ts
+++ b/packages/proxy/src/response-relay.ts
@@ -26,5 +26,6 @@
         return;
     }
     startResponse(exchange, response.status, response.headers, response.outcome);
-    exchange.outgoing.end(response.body);
+    // Node.js sends head and a Latin-1 text in one write, and head and a buffer in two parts. Latin-1 keeps every byte.
+    exchange.outgoing.end(response.body.toString("latin1"), "latin1");
 }
