Close gaps in retries and header handling of the request path

Cause: a refused streamed body could be sent again half-consumed; response headers outside Latin-1 broke the response; a dispatcher that throws left its slot taken; refused requests filled the retry budget.

--- a/packages/proxy/src/authorisation.ts
+++ b/packages/proxy/src/authorisation.ts
@@ -21,11 +21,13 @@
     key: { id: string; secretHash: string; };
 }
 
-const scheme = "Bearer ";
+const scheme = "bearer ";
 
 /** Checks the key of a request. */
 export function authenticate(configuration: Configuration, authorization: string): Result<Caller, Problem> {
-    const parsed = authorization.startsWith(scheme) ? parseKey(authorization.slice(scheme.length)) : undefined;
+    const parsed = authorization.slice(0, scheme.length).toLowerCase() === scheme
+        ? parseKey(authorization.slice(scheme.length))
+        : undefined;
     const key = parsed === undefined ? undefined : configuration.keys.get(parsed.id)?.value;
     return parsed === undefined || key === undefined || !verifySecret(key, parsed.secret)
         ? err(notRun("key_invalid", "the key is unknown or revoked"))
--- a/packages/proxy/src/forwarding.ts
+++ b/packages/proxy/src/forwarding.ts
@@ -244,7 +244,7 @@
                 }
                 lastByteAt = clock.now();
                 head = readHead(status, received, lastByteAt - startedAt, context.trusted === true);
-                if (!context.trusted) {
+                if (context.trusted !== true && status < 500) {
                     context.latency.record(service, head.headersMs);
                 }
                 const length = Number(received["content-length"] ?? Number.NaN);
@@ -360,14 +360,19 @@
         if (context.headers !== undefined) {
             headers.push(...context.headers);
         }
-        attempt.dispatcher.dispatch({
-            path: context.path ?? request.url,
-            method: request.method as Dispatcher.HttpMethod,
-            origin: attempt.target.origin,
-            headers,
-            body: (body.bytes ?? body.stream ?? null) as Dispatcher.DispatchOptions["body"],
-            headersTimeout: 0,
-            bodyTimeout: 0,
-        }, handler);
+        try {
+            attempt.dispatcher.dispatch({
+                path: context.path ?? request.url,
+                method: request.method as Dispatcher.HttpMethod,
+                origin: attempt.target.origin,
+                headers,
+                body: (body.bytes ?? body.stream ?? null) as Dispatcher.DispatchOptions["body"],
+                headersTimeout: 0,
+                bodyTimeout: 0,
+            }, handler);
+        }
+        catch {
+            giveUp(attemptOutcome.cancelled, problemOf("target_unreachable", "the request could not be dispatched"));
+        }
     });
 }
--- a/packages/proxy/src/request-body.ts
+++ b/packages/proxy/src/request-body.ts
@@ -12,6 +12,8 @@
     bytes?: Buffer;
     /** The bytes to send once, when the body is larger than the buffer. */
     stream?: AsyncIterable<Buffer>;
+    /** Whether the stream has been read from, after which it cannot be sent again. */
+    started?: boolean;
     /** Why the stream ended early, once it did. */
     fault?: Problem;
     /** Called when the fault is found. */
@@ -28,6 +30,7 @@
     options: ResolvedProxyOptions,
 ): AsyncGenerator<Buffer> {
     let size = 0;
+    body.started = true;
     for (const chunk of prefix) {
         size += chunk.length;
         yield chunk;
--- a/packages/proxy/src/request-run.ts
+++ b/packages/proxy/src/request-run.ts
@@ -128,7 +128,7 @@
 
     function canRetry(body: RequestBody): boolean {
         return attempts < options.maxAttempts && !exchange.callerGone && clock.now() < exchange.deadlineAt
-            && (body.stream === undefined || !exchange.sent);
+            && body.started !== true;
     }
 
     function endWith(otherwise: { response: TargetResponse; } | { problem: Problem; }): Result<Delivery, Problem> {
@@ -213,7 +213,6 @@
         // The body comes first: a token and a slot are not held while a caller sends slowly.
         const body = request.hasBody ? yield* await readRequestBody(exchange.incoming, request, options) : {};
         yield* check();
-        budget.countRequest();
         yield* (await quota.admit({
             organisation: grant.organisation,
             ratePerSecond: grant.plan.ratePerSecond,
@@ -224,6 +223,7 @@
             },
         })).mapErr(refusal => notRun(refusal.code, refusal.message, refusal.retryAfterMs));
         yield* check();
+        budget.countRequest();
         return attemptUntilDone(body);
     });
 }
--- a/packages/proxy/src/target-headers.ts
+++ b/packages/proxy/src/target-headers.ts
@@ -38,6 +38,11 @@
     return headers;
 }
 
+/** Node.js writes headers as Latin-1; text decoded as UTF-8 goes back to its bytes, one character each. */
+function toLatin1(value: string): string {
+    return /[^\x00-\xff]/.test(value) ? Buffer.from(value).toString("latin1") : value;
+}
+
 /** Returns the end-to-end headers of a response, names and values in turn. */
 export function responseHeaders(received: IncomingHttpHeaders): string[] {
     const nominated = received.connection === undefined
@@ -52,10 +57,10 @@
             continue;
         }
         if (typeof value === "string") {
-            headers.push(name, value);
+            headers.push(name, toLatin1(value));
         }
         else {
-            value.forEach(item => headers.push(name, item));
+            value.forEach(item => headers.push(name, toLatin1(item)));
         }
     }
     return headers;
--- a/test/proxy/forwarding.test.ts
+++ b/test/proxy/forwarding.test.ts
@@ -285,6 +285,45 @@
         expect(back.received).toEqual([]);
     });
 
+    // Guards against sending the rest of a half-consumed body as a complete request.
+    it("does not retry a streamed body that a target has refused", async () => {
+        const busy = await target((socket, text) =>
+            text.startsWith("PUT") && socket.write(rawResponse("", "503 Service Unavailable", { "x-not-run": "true" }))
+        );
+        const good = await target(socket => socket.write(rawResponse("good")));
+        const fixture = await proxy([busy.origin, good.origin]);
+        const routes = fixture.configuration.plans.get("standard")!.value.routes;
+        routes.push({ name: "files", service: "dossier", pathPrefix: "/files", methods: ["PUT"], idempotent: true });
+        const headers = { authorization: `Bearer ${fixture.key}` };
+        const response = await fetch(`${fixture.url}/files/1`, { method: "PUT", body: "b".repeat(200_000), headers });
+        await expectProblem(response, 503, "target_busy", "not-run");
+        expect(good.received).toEqual([]);
+    });
+
+    it("passes on header bytes outside ASCII", async () => {
+        const back = await target(socket => socket.write(rawResponse("ok", "200 OK", { "x-name": "翡翠" })));
+        const response = await get(await proxy([back.origin]));
+        expect(Buffer.from(response.headers.get("x-name")!, "latin1").toString()).toBe("翡翠");
+    });
+
+    it("releases an attempt whose dispatcher throws", async () => {
+        const fixture = await proxy([await closedOrigin()], {}, {
+            router: {
+                update: () => undefined,
+                close: async () => undefined,
+                acquire: async () =>
+                    ok({
+                        target: { id: "t0", service: "dossier", origin: "http://127.0.0.1:1", domain: "a" },
+                        dispatcher: undefined as never,
+                        release: report => released.push(report.outcome),
+                    }),
+            },
+        });
+        const released: string[] = [];
+        await expectProblem(await post(fixture, "order"), 502, "target_unreachable", "not-run");
+        expect(new Set(released)).toEqual(new Set(["cancelled"]));
+    });
+
     it("streams a large body and a large response completely", async () => {
         let size = 0;
         const large = "r".repeat(300_000);
