Add faults to the stand-ins and a history checker

Cause: the stand-ins could only answer, so no failure of a target, the log, the list or the network could be produced, and nothing compared what callers and targets saw with the invariants.

Change: target with slots, shedding, service times, stalls, truncation, errors, draining, a dropped failure domain and recorded executions; log with outage, read lag, retention, an append limit and lost responses; list with lag and a listener for each failure domain; TCP relay that delays and drops by direction. The history checker verifies I2 to I8, lost and misreported requests. The rate check is a virtual bucket over execution starts and over send times. An admission lies between the two, so it looks at the admissions that ran within 25, 100 and 1000 ms of sending and allows rate times that bound; a subset of correct admissions is correct, so the check raises no false alarm.

--- a/packages/stand-ins/src/http-server.ts
+++ b/packages/stand-ins/src/http-server.ts
@@ -1,5 +1,4 @@
 import { serve } from "@hono/node-server";
-import type { Hono } from "hono";
 import type { Server } from "node:http";
 import type { AddressInfo } from "node:net";
 
@@ -11,7 +10,7 @@
 }
 
 /** Serves an application on loopback; port 0 takes a free port. */
-export async function serveApplication(fetch: Hono["fetch"], port: number): Promise<HttpServer> {
+export async function serveApplication(fetch: Parameters<typeof serve>[0]["fetch"], port: number): Promise<HttpServer> {
     const server = await new Promise<Server>(resolve => {
         const created = serve({ fetch, hostname: "127.0.0.1", port }, () => resolve(created)) as Server;
     });
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,6 +1,11 @@
 export { startInstanceList } from "./instance-list";
-export type { InstanceListStandIn } from "./instance-list";
+export type { InstanceListOptions, InstanceListStandIn } from "./instance-list";
 export { startLog } from "./log";
-export type { LogStandIn } from "./log";
+export type { LogBehaviour, LogOptions, LogStandIn } from "./log";
+export { createRandom } from "./random";
+export type { Random } from "./random";
+export { startRelay } from "./relay";
+export type { Direction, Link, LinkChange, Relay } from "./relay";
+export { sharedNow } from "./shared-clock";
 export { startTarget } from "./target";
-export type { TargetStandIn } from "./target";
+export type { Execution, TargetBehaviour, TargetOptions, TargetStandIn } from "./target";
