--- /dev/null
+++ b/packages/experiment/src/child-process.ts
@@ -0,0 +1,87 @@
+import { Failure } from "@trefoilladder/failures";
+import { spawn } from "node:child_process";
+import type { ChildProcess } from "node:child_process";
+import { once } from "node:events";
+import { createServer } from "node:net";
+import type { AddressInfo } from "node:net";
+import { dirname, join } from "node:path";
+import { createInterface } from "node:readline";
+import { setTimeout as delay } from "node:timers/promises";
+
+/** A process that the tool started. */
+export interface Child {
+    name: string;
+    process: ChildProcess;
+    /** Sends SIGTERM, then SIGKILL when the process does not exit in time; resolves when it has exited. */
+    stop(timeoutMs?: number): Promise<void>;
+}
+
+/** A stand-in process and the URL that it listens on. */
+export interface StandInProcess extends Child {
+    url: string;
+}
+
+const startTimeoutMs = 20_000;
+const stopTimeoutMs = 15_000;
+/** The binaries are bundled into one directory, next to the running one. */
+const binaryDirectory = dirname(process.argv[1] ?? "dist/.");
+
+function hasExited(child: ChildProcess): boolean {
+    return child.exitCode !== null || child.signalCode !== null;
+}
+
+/** Starts a binary of this project; its standard error is discarded. */
+export function startBinary(name: string, binary: string, args: readonly string[], capture = false): Child {
+    const child = spawn(process.execPath, [join(binaryDirectory, `${binary}.js`), ...args], {
+        stdio: ["ignore", capture ? "pipe" : "ignore", "ignore"],
+    });
+    return {
+        name,
+        process: child,
+        async stop(timeoutMs = stopTimeoutMs) {
+            if (hasExited(child)) {
+                return;
+            }
+            const exited = once(child, "exit");
+            child.kill("SIGCONT");
+            child.kill("SIGTERM");
+            const timer = setTimeout(() => child.kill("SIGKILL"), timeoutMs);
+            await exited;
+            clearTimeout(timer);
+        },
+    };
+}
+
+/** Starts a binary that prints "... listening on URL" as its first line. */
+export async function startListening(name: string, binary: string, args: readonly string[]): Promise<StandInProcess> {
+    const child = startBinary(name, binary, args, true);
+    const lines = createInterface({ input: child.process.stdout! });
+    const line = await Promise.race([
+        once(lines, "line").then(([text]) => String(text)),
+        once(child.process, "exit").then(() => ""),
+        delay(startTimeoutMs, "", { ref: false }),
+    ]);
+    const url = /https?:\/\/\S+/.exec(line)?.[0];
+    if (url === undefined) {
+        await child.stop();
+        throw new Failure("process_not_started", `${name} did not start listening`);
+    }
+    return { ...child, url };
+}
+
+/** Starts a stand-in on a free port. */
+export function startStandIn(kind: string, args: readonly string[] = []): Promise<StandInProcess> {
+    return startListening(kind, "trefoilladder-stand-in", [kind, "--port", "0", ...args]);
+}
+
+/** Finds ports that are free now. All are held at once, so that no port is returned twice. */
+export async function findFreePorts(count: number): Promise<number[]> {
+    const servers = Array.from({ length: count }, () => createServer().listen(0, "127.0.0.1"));
+    await Promise.all(servers.map(server => once(server, "listening")));
+    const ports = servers.map(server => (server.address() as AddressInfo).port);
+    await Promise.all(servers.map(server => {
+        server.close();
+        return once(server, "close");
+    }));
+    return ports;
+}
--- a/packages/experiment/src/history-checker.ts
+++ b/packages/experiment/src/history-checker.ts
@@ -14,6 +14,7 @@
     ranTwice: "I6-ran-twice",
     leavingTarget: "I7-request-at-leaving-target",
     cutByStop: "I8-cut-by-stop",
+    diverged: "I9-diverged",
     lost: "lost",
     misreported: "misreported",
 } as const;
--- a/packages/experiment/src/history.ts
+++ b/packages/experiment/src/history.ts
@@ -25,6 +25,8 @@
 /** One submission of a request by a caller. Times are on the shared clock, in milliseconds. */
 export interface Submission {
     requestId: string;
+    /** Call that this submission belongs to; a caller may submit a call again elsewhere. */
+    callId: string;
     organisation: string;
     /** Id of the key that was sent; undefined when none was. */
     keyId?: string;
@@ -50,8 +52,6 @@
     /** Token, and request id in the body, of a response with status 200. */
     responseToken?: string;
     responseRequestId?: string;
-    /** Whether the caller repeated the request elsewhere after this submission. */
-    isRetried?: boolean;
 }
 
 /** A key that was revoked, and when the revocation was accepted. */
--- /dev/null
+++ b/packages/experiment/src/measures.ts
@@ -0,0 +1,190 @@
+import type { Execution } from "@trefoilladder/stand-ins";
+import { build } from "hdr-histogram-js";
+import { submissionEnd } from "./history";
+import type { History, Submission } from "./history";
+import { violationKind } from "./history-checker";
+import type { Violation } from "./history-checker";
+
+/** Period in which a target was made bad on purpose. Times are on the shared clock. */
+export interface TargetFault {
+    target: string;
+    from: number;
+    to: number;
+}
+
+/** Period in which a target was live and warm, so that it should get its share. */
+export interface TargetService {
+    target: string;
+    from: number;
+    to: number;
+}
+
+/** What the measures of a run are taken from. */
+export interface Observations {
+    history: History;
+    violations: Violation[];
+    faults: TargetFault[];
+    services: TargetService[];
+    /** Bytes a second and instance on relayed links between entry instances. */
+    controlBytesPerSecond?: number;
+}
+
+/** A bad target counts as detected when it gets less than this part of the requests that it got before the fault. */
+const detectedShare = 0.2;
+/** A healthy target counts as ejected when it gets less than this part of the requests that it got before. */
+const falseEjectionShare = 0.1;
+const detectionWindowMs = 1_000;
+const detectionStepMs = 50;
+const ejectionWindowMs = 2_000;
+/** With fewer expected requests, chance alone leaves a window nearly empty. */
+const minExpected = 12;
+const minDetectionExpected = 8;
+
+function countBetween(executions: readonly Execution[], from: number, to: number): number {
+    return executions.filter(({ startedAt }) => startedAt >= from && startedAt < to).length;
+}
+
+function mean(values: readonly number[]): number | undefined {
+    return values.length === 0 ? undefined : values.reduce((sum, value) => sum + value, 0) / values.length;
+}
+
+/**
+ * Time from the fault to the first window in which the target gets less than a fifth of its earlier requests, seen from
+ * the requests that it ran since `loadFrom`. Undefined when it had too few requests to tell, infinite when it was not
+ * detected.
+ */
+export function measureDetection(
+    fault: TargetFault,
+    executions: readonly Execution[],
+    loadFrom: number,
+): number | undefined {
+    const own = executions.filter(({ target }) => target === fault.target);
+    const expected = countBetween(own, loadFrom, fault.from) / (fault.from - loadFrom) * detectionWindowMs;
+    if (expected < minDetectionExpected) {
+        return undefined;
+    }
+    for (let at = fault.from; at + detectionWindowMs <= fault.to; at += detectionStepMs) {
+        if (countBetween(own, at, at + detectionWindowMs) < detectedShare * expected) {
+            return at - fault.from;
+        }
+    }
+    return Infinity;
+}
+
+/**
+ * Counts how often a healthy target lost its requests. The expectation is the target's own share of the requests so
+ * far, because a router need not spread evenly; a target that never had requests is not counted.
+ */
+export function countFalseEjections({ history, services, faults }: Observations): number {
+    const { executions } = history;
+    let count = 0;
+    for (const { target, from, to } of services) {
+        const own = executions.filter(execution => execution.target === target);
+        let wasEjected = false;
+        for (let at = from + ejectionWindowMs; at + ejectionWindowMs <= to; at += ejectionWindowMs) {
+            const end = at + ejectionWindowMs;
+            const share = countBetween(own, from, at) / Math.max(1, countBetween(executions, from, at));
+            const expected = countBetween(executions, at, end) * share;
+            const isFaulty = faults.some(fault => fault.target === target && fault.from < end && fault.to > at);
+            const isEjected = !isFaulty && expected >= minExpected
+                && countBetween(own, at, end) < falseEjectionShare * expected;
+            count += isEjected && !wasEjected ? 1 : 0;
+            wasEjected = isEjected;
+        }
+    }
+    return count;
+}
+
+function isServed({ end, status, outcome, endedAt, intendedAt, deadlineMs }: Submission): boolean {
+    return end === submissionEnd.response && status === 200 && outcome === "ran" && endedAt <= intendedAt + deadlineMs;
+}
+
+function groupCalls(submissions: readonly Submission[]): Submission[][] {
+    const calls = new Map<string, Submission[]>();
+    for (const submission of submissions) {
+        const call = calls.get(submission.callId);
+        if (call === undefined) {
+            calls.set(submission.callId, [submission]);
+        }
+        else {
+            call.push(submission);
+        }
+    }
+    return [...calls.values()];
+}
+
+/** Takes the measures of a run. */
+export function takeMeasures(observations: Observations) {
+    const { history, violations, faults, services } = observations;
+    const { submissions, executions, limits, revocations } = history;
+    const revokedAt = new Map(revocations.map(({ keyId, at }) => [keyId, at]));
+    const counted = groupCalls(submissions).filter(([first]) =>
+        first!.isEntitled && first!.isWithinRate && first!.intendedAt < (revokedAt.get(first!.keyId ?? "") ?? Infinity)
+    );
+    const latency = build({ highestTrackableValue: 120_000_000, numberOfSignificantValueDigits: 3 });
+    const organisations = Object.fromEntries(limits.map(({ organisation }) => {
+        const calls = counted.filter(([first]) => first!.organisation === organisation);
+        const refused = calls.filter(call => call.at(-1)!.status === 429 || call.at(-1)!.code === "quota_unavailable");
+        return [organisation, {
+            calls: calls.length,
+            servedByDeadline: calls.length === 0 ? 1 : calls.filter(call => call.some(isServed)).length / calls.length,
+            refusedWithinRate: refused.length,
+        }];
+    }));
+    counted.filter(call => call.some(isServed)).forEach(call => {
+        const { intendedAt } = call[0]!;
+        const endedAt = call.find(isServed)!.endedAt;
+        latency.recordValue(Math.max(1, Math.round((endedAt - intendedAt) * 1_000)));
+    });
+    const results = Object.values(organisations);
+    const loadFrom = Math.min(...services.map(({ from }) => from));
+    const detections = faults.map(fault => measureDetection(fault, executions, loadFrom));
+    const detected = detections.filter((value): value is number => value !== undefined && Number.isFinite(value));
+    const countOf = (kind: Violation["kind"]) => violations.filter(violation => violation.kind === kind).length;
+    const violationCounts: Record<string, number> = {};
+    violations.forEach(({ kind }) => violationCounts[kind] = (violationCounts[kind] ?? 0) + 1);
+    const ends = Object.values(submissionEnd).map(end => [end, submissions.filter(s => s.end === end).length]);
+    const responseCodes: Record<string, number> = {};
+    for (const { status, code } of submissions.filter(({ end }) => end === submissionEnd.response)) {
+        const name = code === undefined ? String(status) : `${status} ${code}`;
+        responseCodes[name] = (responseCodes[name] ?? 0) + 1;
+    }
+    return {
+        submissions: submissions.length,
+        executions: executions.length,
+        detection: {
+            badTargets: faults.length,
+            notDetected: detections.filter(value => value === Infinity).length,
+            tooFewRequests: detections.filter(value => value === undefined).length,
+            meanMs: mean(detected),
+            worstMs: detected.length === 0 ? undefined : Math.max(...detected),
+        },
+        idleTargets: services.filter(service => executions.every(({ target }) => target !== service.target)).length,
+        falseEjections: countFalseEjections(observations),
+        servedByDeadline: {
+            worst: Math.min(1, ...results.map(result => result.servedByDeadline)),
+            mean: mean(results.map(result => result.servedByDeadline)),
+            organisations,
+        },
+        refusedWithinRate: results.reduce((sum, result) => sum + result.refusedWithinRate, 0),
+        refusedWithinRateShare: results.reduce((sum, result) => sum + result.refusedWithinRate, 0)
+            / Math.max(1, results.reduce((sum, result) => sum + result.calls, 0)),
+        admittedOverRate: countOf(violationKind.rateExceeded),
+        runTwice: countOf(violationKind.ranTwice),
+        falseNotRun: countOf(violationKind.falseNotRun),
+        lost: countOf(violationKind.lost) + countOf(violationKind.wrongResponse),
+        cutByStops: countOf(violationKind.cutByStop),
+        violationCounts,
+        controlBytesPerSecond: observations.controlBytesPerSecond,
+        latencyMs: {
+            p50: latency.getValueAtPercentile(50) / 1_000,
+            p99: latency.getValueAtPercentile(99) / 1_000,
+            p999: latency.getValueAtPercentile(99.9) / 1_000,
+        },
+        ends: Object.fromEntries(ends) as Record<string, number>,
+        responseCodes,
+    };
+}
+
+/** Measures of a run. */
+export type Measures = ReturnType<typeof takeMeasures>;
--- a/packages/stand-ins/src/target.ts
+++ b/packages/stand-ins/src/target.ts
@@ -240,6 +240,7 @@
 
     function createApplication(domain?: string): Hono<{ Bindings: HttpBindings; }> {
         const app = new Hono<{ Bindings: HttpBindings; }>();
+        app.get("/control/domains", context => context.json(domainPorts));
         app.get("/control/executions", context => context.json({ executions, counts }));
         app.delete("/control/executions", context => {
             executions = [];
@@ -273,12 +274,13 @@
         const opened = await serveApplication(createApplication(domain).fetch, 0);
         return [domain, opened] as const;
     }));
+    const domainPorts = Object.fromEntries(domainServers.map(([domain, opened]) => [domain, opened.port]));
     const servers = [server, ...domainServers.map(([, opened]) => opened)];
     servers.forEach(opened => opened.server.on("connection", limitConnections));
     return {
         url: `http://127.0.0.1:${server.port}`,
         port: server.port,
-        domainPorts: Object.fromEntries(domainServers.map(([domain, opened]) => [domain, opened.port])),
+        domainPorts,
         close: async () => void await Promise.all(servers.map(opened => opened.close())),
     };
 }
--- a/test/experiment/history-checker.test.ts
+++ b/test/experiment/history-checker.test.ts
@@ -8,6 +8,7 @@
     const requestId = changes.requestId ?? `r-${at}`;
     return {
         requestId,
+        callId: requestId,
         organisation: "laurel",
         keyId: "k-1",
         isEntitled: true,
@@ -146,7 +147,7 @@
         const submissions = [
             submissionAt(0),
             submissionAt(1_200),
-            submissionAt(2_000, { ...order, end: "reset", status: undefined, outcome: undefined, isRetried: true }),
+            submissionAt(2_000, { ...order, end: "reset", status: undefined, outcome: undefined }),
             // The issuer returns the stored response of the first submission.
             submissionAt(2_400, { ...order, responseToken: "t", responseRequestId: "r-2000" }),
             submissionAt(2_500, { keyId: undefined, isEntitled: false, status: 401, outcome: "not-run" }),
