Decide on retries by a table outside the request

Cause: a table of closures and a set of tried targets were built for each request; a complete 5xx response was replaced by the failure of a later attempt.

Change: module-level decision table, shared empty set, request id read from the raw headers, an earlier complete response is kept.

--- a/packages/proxy/src/caller-request.ts
+++ b/packages/proxy/src/caller-request.ts
@@ -144,10 +144,16 @@
         : ok({ hasBody: contentLength > 0, contentLength });
 }
 
-/** Returns the caller's request id when it is a usable one. */
+/** Returns the caller's request id when it is a usable one. Reading `headers` instead would build the whole object. */
 export function readRequestId(incoming: IncomingMessage): string | undefined {
-    const text = incoming.headers[callerHeader.requestId];
-    return typeof text === "string" && requestIdPattern.test(text) ? text : undefined;
+    const raw = incoming.rawHeaders;
+    for (let index = 0; index < raw.length; index += 2) {
+        const name = raw[index]!;
+        if (name.length === callerHeader.requestId.length && name.toLowerCase() === callerHeader.requestId) {
+            return requestIdPattern.test(raw[index + 1]!) ? raw[index + 1]! : undefined;
+        }
+    }
+    return undefined;
 }
 
 /** Checks the head of a request. The body is not read. */
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -3,13 +3,13 @@
 import type { Clock } from "@trefoilladder/clock";
 import { isIdempotent } from "@trefoilladder/configuration";
 import type { Configuration } from "@trefoilladder/configuration";
-import type { IdempotencyRegister } from "@trefoilladder/idempotency";
+import type { IdempotencyRegister, Run } from "@trefoilladder/idempotency";
 import type { Quota } from "@trefoilladder/quota";
 import type { Router } from "@trefoilladder/routing";
 import type { Telemetry } from "@trefoilladder/telemetry";
 import { Hono } from "hono";
 import { err, ok, safeTry } from "neverthrow";
-import type { Result } from "neverthrow";
+import type { Result, ResultAsync } from "neverthrow";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { authenticate, authorise, recheck } from "./authorisation";
 import type { Grant } from "./authorisation";
@@ -133,6 +133,24 @@
         });
     }
 
+    async function runClaimed(
+        exchange: Exchange,
+        request: CallerRequest,
+        grant: Grant,
+        run: Run,
+        maxResponseBytes: number,
+    ): Promise<Result<Delivery, Problem>> {
+        try {
+            const result = await runRequest(runParts, exchange, request, grant, maxResponseBytes);
+            settleRun(run, result);
+            return result;
+        }
+        catch (error) {
+            run.unknown();
+            throw error;
+        }
+    }
+
     async function runUnderKey(
         exchange: Exchange,
         request: CallerRequest,
@@ -162,17 +180,11 @@
                 sendResponse(exchange, { ...claim.response, outcome: requestOutcome.ran });
                 return ok({ complete: true });
             }
-            const result = await runRequest(runParts, exchange, request, grant, register.maxResponseBytes)
-                .catch((error: unknown) => {
-                    claim.run.unknown();
-                    throw error;
-                });
-            settleRun(claim.run, result);
-            return result;
+            return runClaimed(exchange, request, grant, claim.run, register.maxResponseBytes);
         });
     }
 
-    async function serve(exchange: Exchange, url: string, relayed: boolean): Promise<Result<Delivery, Problem>> {
+    function serve(exchange: Exchange, url: string, relayed: boolean): ResultAsync<Delivery, Problem> {
         return safeTry(async function*() {
             const request = yield* parseCallerRequest(exchange.incoming, url, options);
             exchange.deadlineAt = exchange.receivedAt + request.deadlineMs;
--- a/packages/proxy/src/request-run.ts
+++ b/packages/proxy/src/request-run.ts
@@ -6,7 +6,7 @@
 import type { Attempt, Router } from "@trefoilladder/routing";
 import type { Telemetry } from "@trefoilladder/telemetry";
 import { err, ok, safeTry } from "neverthrow";
-import type { Result } from "neverthrow";
+import type { Result, ResultAsync } from "neverthrow";
 import type { AttemptResult, TargetResponse } from "./attempt-result";
 import { recheck } from "./authorisation";
 import type { Grant } from "./authorisation";
@@ -50,22 +50,55 @@
 ]);
 const retryableStatuses = new Set([500, 502, 503, 504]);
 
-/** Decision after an attempt: the end of the run, or what to answer when no further attempt is possible. */
+/** What to answer when no further attempt is possible. */
+type Answer = { response: TargetResponse; } | { problem: Problem; };
+
+/** Decision after an attempt: the end of the run, an answer, or another attempt with an answer in reserve. */
 type Decision =
-    | { kind: "done"; result: Result<Delivery, Problem>; }
-    | { kind: "retry"; otherwise: { response: TargetResponse; } | { problem: Problem; }; };
+    | { kind: "done"; delivery: Delivery; }
+    | { kind: "answer" | "retry"; answer: Answer; };
+
+const decisions: {
+    [Kind in AttemptResult["kind"]]: (
+        result: Extract<AttemptResult, { kind: Kind; }>,
+        idempotent: boolean,
+    ) => Decision;
+} = {
+    held: ({ response }, idempotent) => ({
+        kind: idempotent && retryableStatuses.has(response.status) ? "retry" : "answer",
+        answer: { response },
+    }),
+    refused: ({ response }, idempotent) => ({
+        kind: idempotent ? "retry" : "answer",
+        answer: {
+            problem: notRun("target_busy", "the target refused the request before running it", response.retryAfterMs),
+        },
+    }),
+    streamed: ({ copy }) => ({ kind: "done", delivery: { complete: true, copy } }),
+    interrupted: () => ({ kind: "done", delivery: { complete: false } }),
+    failed: ({ problem, sent }, idempotent) => ({
+        kind: retryableProblems.has(problem.code) && (idempotent || !sent) ? "retry" : "answer",
+        answer: { problem },
+    }),
+};
+
+function decide(result: AttemptResult, idempotent: boolean): Decision {
+    return (decisions[result.kind] as (result: AttemptResult, idempotent: boolean) => Decision)(result, idempotent);
+}
+
+const noTargets: ReadonlySet<string> = new Set();
 
 /** Runs an authorised request: body, quota, slot, attempts on targets, response. */
-export async function runRequest(
+export function runRequest(
     parts: RunParts,
     exchange: Exchange,
     request: CallerRequest,
     grant: Grant,
     copyBytes: number,
-): Promise<Result<Delivery, Problem>> {
+): ResultAsync<Delivery, Problem> {
     const { configuration, quota, router, clock, options, budget } = parts;
     const idempotent = isIdempotent(grant.route, request.method);
-    const excluded = new Set<string>();
+    let excluded = noTargets;
     let attempts = 0;
     /** Whether an earlier attempt may have run the request. */
     let maybeRan = false;
@@ -102,42 +135,17 @@
         return ok({ complete: true, copy: response.body.length <= copyBytes ? response : undefined });
     }
 
-    const decide: { [Kind in AttemptResult["kind"]]: (result: Extract<AttemptResult, { kind: Kind; }>) => Decision; } =
-        {
-            held: ({ response }) =>
-                idempotent && retryableStatuses.has(response.status)
-                    ? { kind: "retry", otherwise: { response } }
-                    : { kind: "done", result: deliver(response) },
-            refused({ response }) {
-                const problem = notRun(
-                    "target_busy",
-                    "the target refused the request before running it",
-                    response.retryAfterMs,
-                );
-                return idempotent
-                    ? { kind: "retry", otherwise: { problem } }
-                    : { kind: "done", result: err(truthful(problem)) };
-            },
-            streamed: ({ copy }) => ({ kind: "done", result: ok({ complete: true, copy }) }),
-            interrupted: () => ({ kind: "done", result: ok({ complete: false }) }),
-            failed: ({ problem, sent }) =>
-                retryableProblems.has(problem.code) && (idempotent || !sent)
-                    ? { kind: "retry", otherwise: { problem } }
-                    : { kind: "done", result: err(truthful(problem)) },
-        };
-
     function canRetry(body: RequestBody): boolean {
         return attempts < options.maxAttempts && !exchange.callerGone && clock.now() < exchange.deadlineAt
             && body.started !== true;
     }
 
-    function endWith(otherwise: { response: TargetResponse; } | { problem: Problem; }): Result<Delivery, Problem> {
-        return "response" in otherwise ? deliver(otherwise.response) : err(truthful(otherwise.problem));
+    function endWith(answer: Answer): Result<Delivery, Problem> {
+        return "response" in answer ? deliver(answer.response) : err(truthful(answer.problem));
     }
 
     async function tryOnce(attempt: Attempt, body: RequestBody): Promise<AttemptResult> {
         attempts += 1;
-        excluded.add(attempt.target.id);
         let reservation: AbortController | undefined;
         let finished = false;
         const context: ForwardingContext = {
@@ -152,6 +160,7 @@
             mayRetry: () => idempotent && canRetry(body) && budget.allows(),
             async reserveNext(wanted) {
                 reservation = new AbortController();
+                excluded = new Set([...excluded, attempt.target.id]);
                 const next = await acquire(reservation);
                 if (next.isErr()) {
                     return false;
@@ -173,33 +182,36 @@
     }
 
     async function attemptUntilDone(body: RequestBody): Promise<Result<Delivery, Problem>> {
-        let otherwise: { response: TargetResponse; } | { problem: Problem; } | undefined;
+        let answer: Answer | undefined;
         for (;;) {
             const acquired = reserved === undefined ? await acquire(exchange) : ok(reserved);
             reserved = undefined;
             if (acquired.isErr()) {
-                return otherwise === undefined ? err(truthful(acquired.error)) : endWith(otherwise);
+                return endWith(answer ?? { problem: acquired.error });
             }
+            const attempt = acquired.value;
             const permitted = check();
             if (permitted.isErr()) {
-                acquired.value.release({ outcome: attemptOutcome.cancelled });
-                return otherwise !== undefined && "response" in otherwise
-                    ? deliver(otherwise.response)
-                    : err(truthful(permitted.error));
+                attempt.release({ outcome: attemptOutcome.cancelled });
+                return endWith(answer !== undefined && "response" in answer ? answer : { problem: permitted.error });
             }
-            const result = await tryOnce(acquired.value, body);
-            const decision = decide[result.kind](result as never);
+            const result = await tryOnce(attempt, body);
+            const decision = decide(result, idempotent);
             maybeRan ||= result.kind === "held" || (result.kind === "failed" && result.sent);
             exchange.sent = maybeRan;
             if (decision.kind === "done") {
                 releaseReserved();
-                return decision.result;
+                return ok(decision.delivery);
             }
-            otherwise = decision.otherwise;
-            if (!canRetry(body) || !budget.take()) {
+            // A complete response of an earlier attempt says more than the failure of a later one.
+            answer = answer !== undefined && "response" in answer && "problem" in decision.answer
+                ? answer
+                : decision.answer;
+            if (decision.kind === "answer" || !canRetry(body) || !budget.take()) {
                 releaseReserved();
-                return endWith(otherwise);
+                return endWith(answer);
             }
+            excluded = new Set([...excluded, attempt.target.id]);
             parts.telemetry.count("requests.retried");
         }
     }
