--- a/packages/experiment/src/balancer.ts
+++ b/packages/experiment/src/balancer.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from "node:events";
 import { connect } from "node:net";
 import { setTimeout as delay } from "node:timers/promises";
 import { request } from "undici";
@@ -46,6 +47,8 @@
 /** Starts to check the instances of a list that may grow. */
 export function createBalancer(entries: readonly EntryProcess[]): Balancer {
     const stopping = new AbortController();
+    // Each watched instance sleeps with this signal.
+    setMaxListeners(0, stopping.signal);
     const ready = new Set<EntryProcess>();
     const watched = new Set<EntryProcess>();
     const tasks: Promise<void>[] = [];
--- a/packages/experiment/src/child-process.ts
+++ b/packages/experiment/src/child-process.ts
@@ -26,6 +26,9 @@
 /** The binaries are bundled into one directory, next to the running one. */
 const binaryDirectory = dirname(process.argv[1] ?? "dist/.");
 
+const running = new Set<ChildProcess>();
+process.once("exit", () => running.forEach(child => child.kill("SIGKILL")));
+
 function hasExited(child: ChildProcess): boolean {
     return child.exitCode !== null || child.signalCode !== null;
 }
@@ -35,6 +38,8 @@
     const child = spawn(process.execPath, [join(binaryDirectory, `${binary}.js`), ...args], {
         stdio: ["ignore", capture ? "pipe" : "ignore", "ignore"],
     });
+    running.add(child);
+    child.once("exit", () => running.delete(child));
     return {
         name,
         process: child,
--- a/packages/experiment/src/main.ts
+++ b/packages/experiment/src/main.ts
@@ -72,4 +72,9 @@
     .requiredOption("--target <url>", "target that every request goes to")
     .action(startPassThrough);
 
+// Exiting also ends the processes that the tool started.
+for (const signal of ["SIGINT", "SIGTERM"] as const) {
+    process.once(signal, () => process.exit(exitCode.notRun));
+}
+
 void program.parseAsync();
--- a/test/experiment/history-checker.test.ts
+++ b/test/experiment/history-checker.test.ts
@@ -132,6 +132,10 @@
         }),
     ],
     "a request answered as run that no target ran": [violationKind.lost, historyOf({ submissions: [submissionAt(0)] })],
+    "a shed request reported as run": [
+        violationKind.misreported,
+        historyOf({ submissions: [submissionAt(0, { status: 503 })] }),
+    ],
     "a response that does not say whether the request ran": [
         violationKind.misreported,
         ranOnce([submissionAt(0, { outcome: undefined })]),
