Wire membership, ownership, fleet quota and idempotency into the entry instance

Cause: the parts existed without a process that joins them; quota was still local to one instance.

A second signal joins the stop that is under way; before, it started a second stop.

--- /dev/null
+++ b/packages/entry/src/inner-server.ts
@@ -0,0 +1,39 @@
+import type { ConnectRouter } from "@connectrpc/connect";
+import { connectNodeAdapter } from "@connectrpc/connect-node";
+import { getRequestListener } from "@hono/node-server";
+import type { Proxy } from "@trefoilladder/proxy";
+import { Hono } from "hono";
+import { createServer } from "node:http";
+import type { Server } from "node:http";
+
+/** What the inner listener serves. */
+export interface InnerServerParts {
+    routes: (router: ConnectRouter) => void;
+    proxy: Proxy;
+    /** Tells whether the load balancer may send requests to this instance. */
+    isReady(): boolean;
+    renderStatus(options: { histograms: boolean; }): string;
+}
+
+/**
+ * Creates the server of the inner listener: the inner protocol, relayed requests and the health endpoints.
+ * `/live` is 200 while the process runs; `/ready` is 200 while it admits requests and does not stop.
+ */
+export function createInnerServer(parts: InnerServerParts): Server {
+    const app = new Hono();
+    app.get("/live", context => context.json({ live: true }));
+    app.get("/ready", context => {
+        const ready = parts.isReady();
+        return context.json({ ready }, ready ? 200 : 503);
+    });
+    app.get("/status", context => {
+        const histograms = context.req.query("histograms") === "true";
+        return context.body(parts.renderStatus({ histograms }), 200, { "content-type": "application/json" });
+    });
+    app.route("/", parts.proxy.relay as unknown as Hono);
+    const fallback = getRequestListener(app.fetch);
+    return createServer(connectNodeAdapter({
+        routes: parts.routes,
+        fallback: (request, response) => void fallback(request as never, response as never),
+    }));
+}
--- a/packages/entry/src/instance-list-follower.ts
+++ b/packages/entry/src/instance-list-follower.ts
@@ -1,20 +1,28 @@
 import type { Clock } from "@trefoilladder/clock";
+import type { MembershipService } from "@trefoilladder/membership";
 import type { InstanceListClient } from "@trefoilladder/platform";
 import type { Router } from "@trefoilladder/routing";
 import type { Telemetry } from "@trefoilladder/telemetry";
 
 const pollIntervalMs = 500;
 
-/** Polls the instance list and hands it to the router until the signal aborts. */
+/** Polls the instance list and hands it to the router and the membership until the signal aborts. */
 export async function followInstanceList(
-    parts: { instanceList: InstanceListClient; router: Router; clock: Clock; telemetry: Telemetry; },
+    parts: {
+        instanceList: InstanceListClient;
+        router: Router;
+        membership: MembershipService;
+        clock: Clock;
+        telemetry: Telemetry;
+    },
     signal: AbortSignal,
 ): Promise<void> {
-    const { instanceList, router, clock, telemetry } = parts;
+    const { instanceList, router, membership, clock, telemetry } = parts;
     while (!signal.aborted) {
         const listed = await instanceList.fetch(signal);
         if (listed.isOk()) {
             router.update(listed.value);
+            membership.update(listed.value);
         }
         else {
             telemetry.count("instance_list.read_failures");
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -1,8 +1,8 @@
-import { loadSettings } from "@trefoilladder/settings";
+import { loadSettings, renderDefaultSettings } from "@trefoilladder/settings";
 import { Command } from "commander";
 import { startEntryInstance } from "./wiring";
 
-const exitCode = { ok: 0, badSettings: 78 } as const;
+const exitCode = { ok: 0, wrongUsage: 64, badSettings: 78 } as const;
 
 async function run(settingsPath: string): Promise<void> {
     const settings = loadSettings(settingsPath);
@@ -14,7 +14,12 @@
         process.exit(exitCode.badSettings);
     }
     const instance = startEntryInstance(settings.value);
-    const stop = () => void instance.stop().then(() => process.exit(exitCode.ok));
+    let stopped: Promise<void> | undefined;
+    const stop = () => {
+        // A second signal joins the stop that is under way.
+        stopped ??= instance.stop();
+        void stopped.then(() => process.exit(exitCode.ok));
+    };
     process.on("SIGTERM", stop);
     process.on("SIGINT", stop);
 }
@@ -22,7 +27,19 @@
 const program = new Command("trefoilladder-entry")
     .description("Proxy process between callers and targets")
     .version("0.1.0")
-    .requiredOption("--settings <file>", "settings file (YAML)")
-    .action((options: { settings: string; }) => run(options.settings));
+    .option("--settings <file>", "settings file (YAML)")
+    .option("--print-defaults", "print every setting with its default and exit")
+    .addHelpText("after", "\nExit codes: 0 stopped on a signal, 64 wrong usage, 78 wrong settings")
+    .action((options: { settings?: string; printDefaults?: boolean; }) => {
+        if (options.printDefaults === true) {
+            console.log(renderDefaultSettings());
+            return;
+        }
+        if (options.settings === undefined) {
+            console.error("a settings file is needed: --settings <file>");
+            process.exit(exitCode.wrongUsage);
+        }
+        return run(options.settings);
+    });
 
 void program.parseAsync();
--- /dev/null
+++ b/packages/entry/src/status.ts
@@ -0,0 +1,36 @@
+import type { Clock } from "@trefoilladder/clock";
+import type { ConfigurationFollower } from "@trefoilladder/configuration";
+import type { Membership } from "@trefoilladder/membership";
+import type { QuotaOwner } from "@trefoilladder/quota";
+import type { Settings } from "@trefoilladder/settings";
+import type { Telemetry } from "@trefoilladder/telemetry";
+
+/** Parts that the status document describes. */
+export interface StatusParts {
+    settings: Settings;
+    clock: Clock;
+    telemetry: Telemetry;
+    membership: Membership;
+    follower: ConfigurationFollower;
+    quotaOwner: QuotaOwner;
+}
+
+/** Renders the status document of this instance as JSON. It contains no secrets. */
+export function renderStatus(parts: StatusParts, options: { histograms: boolean; }): string {
+    const { settings, clock, telemetry, membership, follower, quotaOwner } = parts;
+    const now = clock.now();
+    const histograms = Object.fromEntries(
+        [...telemetry.histograms()].map(([name, histogram]) => [name, histogram.toString()]),
+    );
+    return JSON.stringify({
+        instanceId: settings.instanceId,
+        incarnation: membership.self(),
+        appliedOffset: follower.configuration.appliedOffset,
+        fresh: follower.isFresh(now),
+        lease: { held: membership.holdsLease(), remainingMs: Math.max(0, membership.leaseUntil() - now) },
+        members: membership.members().length,
+        quota: quotaOwner.describe().map(bucket => ({ role: "owner", ...bucket })),
+        counters: telemetry.snapshot(),
+        ...(options.histograms ? { histograms } : {}),
+    });
+}
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -1,52 +1,167 @@
-import { serve } from "@hono/node-server";
 import { createMonotonicClock } from "@trefoilladder/clock";
 import { createConfigurationFollower } from "@trefoilladder/configuration";
+import { createIdempotencyRegister } from "@trefoilladder/idempotency";
+import { createMembership, createRoster, createShardOwnership, instanceIdOf, shardOf } from "@trefoilladder/membership";
 import { createInstanceListClient, createLogClient } from "@trefoilladder/platform";
-import { createProxy } from "@trefoilladder/proxy";
-import { createLocalQuota } from "@trefoilladder/quota";
+import { createCallerServer, createProxy } from "@trefoilladder/proxy";
+import { createFleetQuota, createLocalQuota, createQuotaOwner, resolveQuotaOptions } from "@trefoilladder/quota";
+import type { Quota } from "@trefoilladder/quota";
 import { createRouter } from "@trefoilladder/routing";
 import type { Settings } from "@trefoilladder/settings";
 import { createTelemetry } from "@trefoilladder/telemetry";
+import { randomBytes } from "node:crypto";
+import { setMaxListeners } from "node:events";
 import type { Server } from "node:http";
+import { configurationPeers, watchPeerOffsets } from "./configuration-peers";
+import { fleetRoutes } from "./fleet-service";
+import { createInnerServer } from "./inner-server";
 import { followInstanceList } from "./instance-list-follower";
+import { createOwnerCall } from "./owner-call";
+import { limitOf } from "./quota-limit";
+import { stopGracefully } from "./shutdown";
+import { renderStatus } from "./status";
 
 /** A running entry instance. */
 export interface EntryInstance {
-    /** Stops serving and ends every task. */
+    /** Finishes running requests, hands its state over and ends every task. */
     stop(): Promise<void>;
 }
 
+/** Instances that the even-split baseline divides each organisation's limit by. */
+const evenSplitInstances = 48;
+
 /** Constructs the parts of an entry instance and starts them. */
 export function startEntryInstance(settings: Settings): EntryInstance {
     const stopping = new AbortController();
+    // Every long-running task listens to this signal.
+    setMaxListeners(0, stopping.signal);
     const clock = createMonotonicClock();
-    const telemetry = createTelemetry({ instance: settings.instanceId });
+    const telemetry = createTelemetry({
+        instance: settings.instanceId,
+        level: settings.logLevel,
+        statsd: settings.statsd,
+    });
     const log = createLogClient(settings.logUrl);
     const instanceList = createInstanceListClient(settings.instanceListUrl);
-    const follower = createConfigurationFollower({ log, clock, telemetry });
+
+    const roster = createRoster({ log, clock, telemetry });
+    const membership = createMembership(
+        { clock, telemetry, roster, appliedOffset: () => follower.configuration.appliedOffset },
+        {
+            instanceId: settings.instanceId,
+            domain: settings.domain,
+            leaseMs: settings.membership.leaseMs,
+            fenceAfterMs: settings.membership.fenceAfterMs,
+            pullIntervalMs: settings.membership.pullIntervalMs,
+            pullSlots: settings.membership.pullPeers,
+            pullTimeoutMs: settings.membership.pullTimeoutMs,
+            listingGraceMs: Math.max(settings.membership.newMemberSeconds, settings.membership.missingMemberSeconds)
+                * 1000,
+        },
+    );
+    const follower = createConfigurationFollower(
+        {
+            log,
+            clock,
+            telemetry,
+            ...configurationPeers(membership),
+            isSnapshotTurn: offset => ownership.owns(shardOf(`snapshot:${offset}`)),
+        },
+        { snapshotMaxAgeMs: settings.snapshotMaxAgeSeconds * 1000 },
+    );
+
+    const quotaOptions = resolveQuotaOptions();
+    let lastDelegationNumber = randomBytes(6).readUIntBE(0, 6);
+    const quotaOwner = createQuotaOwner({
+        clock,
+        owns: shard => ownership.owns(shard),
+        presumedOwner: shard => ownership.presumedOwner(shard),
+        isFenced: incarnation => membership.isFenced(incarnation),
+        limitOf: organisation => limitOf(follower.configuration, organisation),
+        nextDelegationNumber: () => BigInt(++lastDelegationNumber),
+    }, quotaOptions);
+    const ownership = createShardOwnership({ membership, roster, holders: [quotaOwner], clock, telemetry });
+    const fleetQuota = createFleetQuota({
+        clock,
+        telemetry,
+        self: () => membership.self(),
+        holdsLease: () => membership.holdsLease(),
+        isFenced: incarnation => membership.isFenced(incarnation),
+        presumedOwner: shard => ownership.presumedOwner(shard),
+        callOwner: createOwnerCall({ membership, quotaOwner, telemetry }),
+        random: Math.random,
+    }, quotaOptions);
+    const quota: Quota = settings.baseline === "even-split"
+        ? createLocalQuota({ clock }, { share: 1 / evenSplitInstances })
+        : fleetQuota;
+
     const router = createRouter();
-    const quota = createLocalQuota({ clock });
-    const proxy = createProxy({ configuration: follower.configuration, quota, router, clock, telemetry });
+    const isAdmitting = () => membership.holdsLease() && follower.isFresh(clock.now());
+    const proxy = createProxy({
+        configuration: follower.configuration,
+        quota,
+        router,
+        clock,
+        telemetry,
+        admission: { holdsLease: () => membership.holdsLease(), isFresh: () => follower.isFresh(clock.now()) },
+        idempotency: {
+            // Keys outlive a fence: the register stays in this process, whatever incarnation it has by then.
+            register: createIdempotencyRegister({ incarnation: membership.self(), clock }),
+            resolveIssuer: incarnation =>
+                membership.members().find(({ instanceId }) => instanceId === instanceIdOf(incarnation))?.origin,
+        },
+    });
+
+    const statusParts = { settings, clock, telemetry, membership, follower, quotaOwner };
+    const callerServer = createCallerServer(proxy);
+    const innerServer = createInnerServer({
+        proxy,
+        routes: fleetRoutes({
+            membership,
+            ownership,
+            quotaOwner,
+            follower,
+            renderStatus: () => renderStatus(statusParts, { histograms: false }),
+        }),
+        isReady: () => !stopping.signal.aborted && !unready && isAdmitting(),
+        renderStatus: options => renderStatus(statusParts, options),
+    });
+    let unready = false;
 
     const tasks = [
+        roster.run(stopping.signal),
+        membership.run(stopping.signal),
+        ownership.run(stopping.signal),
+        fleetQuota.run(stopping.signal),
         follower.run(stopping.signal),
-        followInstanceList({ instanceList, router, clock, telemetry }, stopping.signal),
+        watchPeerOffsets({ membership, follower, clock }, stopping.signal),
+        followInstanceList({ instanceList, router, membership, clock, telemetry }, stopping.signal),
     ];
-    const server = serve({
-        fetch: proxy.fetch,
-        hostname: settings.listen.address,
-        port: settings.listen.port,
-    }, () => telemetry.stateChange("listening", { port: settings.listen.port })) as Server;
+    listen(innerServer, settings.inner);
+    listen(callerServer, settings.listen, () => telemetry.stateChange("listening", { port: settings.listen.port }));
 
     return {
         async stop() {
+            unready = true;
+            await stopGracefully({
+                clock,
+                telemetry,
+                membership,
+                ownership,
+                quota: fleetQuota,
+                callerServer,
+                drainMs: settings.drainSeconds * 1000,
+            });
             stopping.abort();
-            const closed = new Promise(resolve => server.close(resolve));
-            server.closeIdleConnections();
-            await closed;
+            innerServer.close();
+            innerServer.closeAllConnections();
             await Promise.all(tasks);
-            await Promise.all([router.close(), log.close(), instanceList.close()]);
+            await Promise.all([proxy.close(), router.close(), log.close(), instanceList.close()]);
             telemetry.close();
         },
     };
 }
+
+function listen(server: Server, at: { address: string; port: number; }, listening?: () => void): void {
+    server.listen(at.port, at.address, listening);
+}
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -4,7 +4,7 @@
 export type { MembershipOptions, MembershipParts, MembershipService } from "./gossip-membership";
 export { instanceIdOf } from "./incarnation";
 export type { Member, Membership, MembershipPeer } from "./membership";
-export { MembershipFailure } from "./membership-failure";
+export { MembershipFailure, membershipFailure } from "./membership-failure";
 export type { MembershipFailureCode } from "./membership-failure";
 export { createPeerClient } from "./peer-client";
 export type { PeerClient } from "./peer-client";
--- a/packages/settings/src/settings.ts
+++ b/packages/settings/src/settings.ts
@@ -79,6 +79,8 @@
         .describe("Time between the report of unready and the end of new requests at a planned stop, in seconds."),
     snapshotMaxAgeSeconds: z.number().positive().default(1_800)
         .describe("Age at which a snapshot is written again; half of the log's retention time, in seconds."),
+    baseline: z.enum(["none", "even-split", "own-evidence", "no-ejection"]).default("none")
+        .describe("Replaces a decision of the fleet by a simpler one; for comparisons in experiments only."),
     logLevel: z.enum(["debug", "info", "warn", "error", "silent"]).default("info")
         .describe("Lowest level of the log lines that are written."),
     membership: membershipSchema.prefault({}).describe("Timings between the entry instances."),
--- a/scripts/start.mjs
+++ b/scripts/start.mjs
@@ -30,6 +30,8 @@
             `inner: { port: ${entry.innerPort} }`,
             `logUrl: ${logUrl}`,
             `instanceListUrl: ${listUrl}`,
+            // No load balancer has to notice the stop of a trial.
+            "drainSeconds: 0",
             "",
         ].join("\n"),
     );
--- a/test/whole-path.test.ts
+++ b/test/whole-path.test.ts
@@ -67,6 +67,7 @@
             `inner: { port: ${innerPort} }`,
             `logUrl: ${log.url}`,
             `instanceListUrl: ${list.url}`,
+            "drainSeconds: 0",
         ].join("\n"),
     );
     const entry = spawn(process.execPath, ["dist/trefoilladder-entry.js", "--settings", settings], { stdio: "ignore" });
