Use plain awaits on the request path

Cause: safeTry over asynchronous generators allocates several objects for each step.

Change: the checks without a wait stay in a safeTry generator, the waits are plain awaits with a check of the result.

--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -9,7 +9,7 @@
 import type { Telemetry } from "@trefoilladder/telemetry";
 import { Hono } from "hono";
 import { err, ok, safeTry } from "neverthrow";
-import type { Result, ResultAsync } from "neverthrow";
+import type { Result } from "neverthrow";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { authenticate, authorise, recheck } from "./authorisation";
 import type { Grant } from "./authorisation";
@@ -184,29 +184,43 @@
         });
     }
 
-    function serve(exchange: Exchange, url: string, relayed: boolean): ResultAsync<Delivery, Problem> {
-        return safeTry(async function*() {
+    /** Checks the head of a request and the caller's right to it, without a wait. */
+    function admit(exchange: Exchange, url: string): Result<{ request: CallerRequest; grant?: Grant; }, Problem> {
+        return safeTry(function*() {
             const request = yield* parseCallerRequest(exchange.incoming, url, options);
             exchange.deadlineAt = exchange.receivedAt + request.deadlineMs;
             if (request.path === idempotencyKeysPath) {
-                return issueKey(exchange, request);
+                return ok({ request });
             }
             const grant = yield* authorise(configuration, request);
             yield* checkAdmission();
-            const idempotent = isIdempotent(grant.route, request.method);
-            if (!idempotent && idempotency !== undefined) {
-                const next = idempotency.register.issue(grant.organisation);
-                exchange.extraHeaders.push(callerHeader.nextIdempotencyKey, next);
-            }
-            const result = request.idempotencyKey === undefined && !relayed
-                ? await runRequest(runParts, exchange, request, grant, 0)
-                : await runUnderKey(exchange, request, grant, request.idempotencyKey ?? "", relayed);
-            const requestClass = idempotent ? "idempotent" : "non-idempotent";
-            telemetry.recordDuration(grant.organisation, requestClass, clock.now() - exchange.receivedAt);
-            return result;
+            return ok({ request, grant });
         });
     }
 
+    // The waits of the request path are plain awaits: a generator over them costs a tenth of its CPU time.
+    async function serve(exchange: Exchange, url: string, relayed: boolean): Promise<Result<Delivery, Problem>> {
+        const admitted = admit(exchange, url);
+        if (admitted.isErr()) {
+            return err(admitted.error);
+        }
+        const { request, grant } = admitted.value;
+        if (grant === undefined) {
+            return issueKey(exchange, request);
+        }
+        const idempotent = isIdempotent(grant.route, request.method);
+        if (!idempotent && idempotency !== undefined) {
+            const next = idempotency.register.issue(grant.organisation);
+            exchange.extraHeaders.push(callerHeader.nextIdempotencyKey, next);
+        }
+        const result = request.idempotencyKey === undefined && !relayed
+            ? await runRequest(runParts, exchange, request, grant, 0)
+            : await runUnderKey(exchange, request, grant, request.idempotencyKey ?? "", relayed);
+        const requestClass = idempotent ? "idempotent" : "non-idempotent";
+        telemetry.recordDuration(grant.organisation, requestClass, clock.now() - exchange.receivedAt);
+        return result;
+    }
+
     async function handle(
         incoming: IncomingMessage,
         outgoing: ServerResponse,
--- a/packages/proxy/src/request-run.ts
+++ b/packages/proxy/src/request-run.ts
@@ -5,8 +5,8 @@
 import { attemptOutcome } from "@trefoilladder/routing";
 import type { Attempt, Router } from "@trefoilladder/routing";
 import type { Telemetry } from "@trefoilladder/telemetry";
-import { err, ok, safeTry } from "neverthrow";
-import type { Result, ResultAsync } from "neverthrow";
+import { err, ok } from "neverthrow";
+import type { Result } from "neverthrow";
 import type { AttemptResult, TargetResponse } from "./attempt-result";
 import { recheck } from "./authorisation";
 import type { Grant } from "./authorisation";
@@ -89,13 +89,13 @@
 const noTargets: ReadonlySet<string> = new Set();
 
 /** Runs an authorised request: body, quota, slot, attempts on targets, response. */
-export function runRequest(
+export async function runRequest(
     parts: RunParts,
     exchange: Exchange,
     request: CallerRequest,
     grant: Grant,
     copyBytes: number,
-): ResultAsync<Delivery, Problem> {
+): Promise<Result<Delivery, Problem>> {
     const { configuration, quota, router, clock, options, budget } = parts;
     const idempotent = isIdempotent(grant.route, request.method);
     let excluded = noTargets;
@@ -221,21 +221,31 @@
         reserved = undefined;
     }
 
-    return safeTry(async function*() {
-        // The body comes first: a token and a slot are not held while a caller sends slowly.
-        const body = request.hasBody ? yield* await readRequestBody(exchange.incoming, request, options) : {};
-        yield* check();
-        yield* (await quota.admit({
-            organisation: grant.organisation,
-            ratePerSecond: grant.plan.ratePerSecond,
-            burst: grant.plan.burst,
-            deadlineAt: exchange.deadlineAt,
-            get signal() {
-                return exchange.signal;
-            },
-        })).mapErr(refusal => notRun(refusal.code, refusal.message, refusal.retryAfterMs));
-        yield* check();
-        budget.countRequest();
-        return attemptUntilDone(body);
+    // The body comes first: a token and a slot are not held while a caller sends slowly.
+    const body = request.hasBody ? await readRequestBody(exchange.incoming, request, options) : ok({});
+    if (body.isErr()) {
+        return err(body.error);
+    }
+    const timely = check();
+    if (timely.isErr()) {
+        return err(timely.error);
+    }
+    const admitted = await quota.admit({
+        organisation: grant.organisation,
+        ratePerSecond: grant.plan.ratePerSecond,
+        burst: grant.plan.burst,
+        deadlineAt: exchange.deadlineAt,
+        get signal() {
+            return exchange.signal;
+        },
     });
+    if (admitted.isErr()) {
+        return err(notRun(admitted.error.code, admitted.error.message, admitted.error.retryAfterMs));
+    }
+    const permitted = check();
+    if (permitted.isErr()) {
+        return err(permitted.error);
+    }
+    budget.countRequest();
+    return attemptUntilDone(body.value);
 }
