Bound the scans of a full idempotency register

Cause: a full register was scanned for expired entries on every claim.

Change: at most one full scan a second.

Result: npx jest test/proxy test/idempotency: 70 tests pass.

--- a/packages/idempotency/src/idempotency-register.ts
+++ b/packages/idempotency/src/idempotency-register.ts
@@ -54,6 +54,8 @@
     ): Promise<Result<Claim, IdempotencyFailure>>;
 }
 
+const sweepIntervalMs = 1_000;
+
 interface Entry {
     fingerprint: string;
     expiresAt: number;
@@ -81,6 +83,7 @@
     // Insertion order is order of first use; every entry is dropped within twice the lifetime of a key.
     const entries = new Map<string, Entry>();
     let storedBytes = 0;
+    let sweptAt = -Infinity;
 
     function drop(text: string, entry: Entry): void {
         entries.delete(text);
@@ -98,9 +101,14 @@
         }
     }
 
-    /** Drops every expired entry; needed when a long-lived entry at the front hides expired ones. */
+    /** Drops every expired entry; needed when an entry at the front hides expired ones. */
     function sweep(): void {
         const now = clock.now();
+        // A full register would otherwise be scanned for every request.
+        if (now - sweptAt < sweepIntervalMs) {
+            return;
+        }
+        sweptAt = now;
         for (const [text, entry] of entries) {
             if (entry.expiresAt <= now && entry.state !== "running") {
                 drop(text, entry);
