Ask the owner for the tokens of all waiting requests in one call

Cause: under overload every waiting request asked the owner on its own and repeated the call each 40 ms.

Change: one call an organisation and instance is under way; it books up to 64 tokens. A grant is usable for 100 ms in place of 50 ms, since an event loop on a busy machine answers later than 50 ms.

--- a/packages/quota/src/fleet-quota.ts
+++ b/packages/quota/src/fleet-quota.ts
@@ -13,6 +13,7 @@
 import type { Quota, QuotaRequest } from "./quota";
 import { QuotaRefusal } from "./quota";
 import type { ResolvedQuotaOptions } from "./quota-options";
+import { maxTokensPerRequest } from "./quota-owner";
 
 /** Collaborators of the fleet-wide quota. */
 export interface FleetQuotaParts {
@@ -44,19 +45,31 @@
     delegation?: UsableDelegation;
     /** Time until which the owner's last refusal stands. */
     refusedUntil: number;
+    /** Requests that wait for the next call to the owner. */
+    waiters: Waiter[];
+    asking: boolean;
 }
 
-type AcquireOutcome =
+type TokenOutcome =
     | { kind: "granted"; usableFrom: number; usableUntil: number; }
     | { kind: "refused"; retryAfterMs: number; }
     | { kind: "unanswered"; };
 
+interface Waiter {
+    deadlineAt: number;
+    settle(outcome: TokenOutcome): void;
+}
+
 const renewIntervalMs = 250;
 const ownerRetryMs = 40;
 const forgetAfterMs = 60_000;
 /** Time that a request needs after its admission; a token that comes later is of no use. */
 const minServiceMs = 5;
 
+function isDecision({ verdict }: AcquireResponse): boolean {
+    return verdict === AcquireVerdict.GRANTED || verdict === AcquireVerdict.REFUSED;
+}
+
 /** Creates the quota of an instance that asks owners and uses their delegations. */
 export function createFleetQuota(parts: FleetQuotaParts, options: ResolvedQuotaOptions): FleetQuota {
     const { clock, telemetry } = parts;
@@ -65,7 +78,7 @@
     function stateOf(organisation: string, now: number): OrganisationState {
         let state = organisations.get(organisation);
         if (state === undefined) {
-            state = { demand: createDemandMeter(now), refusedUntil: -Infinity };
+            state = { demand: createDemandMeter(now), refusedUntil: -Infinity, waiters: [], asking: false };
             organisations.set(organisation, state);
         }
         return state;
@@ -106,11 +119,11 @@
         organisation: string,
         state: OrganisationState,
         wanted: { tokens: number; maxDelayMs?: number; returned?: UsableDelegation; },
-    ): Promise<AcquireOutcome> {
+    ): Promise<TokenOutcome[]> {
         const owner = parts.presumedOwner(shardOf(organisation));
         const sentAt = clock.now();
         if (owner === undefined) {
-            return { kind: "unanswered" };
+            return [];
         }
         const holder = parts.self();
         const held = wanted.returned ?? usableDelegation(state, sentAt);
@@ -130,17 +143,46 @@
         );
         telemetry.count("quota.acquires");
         if (response === undefined) {
-            return { kind: "unanswered" };
+            return [];
         }
         keepDelegation(state, response, { owner, holder, sentAt });
-        if (response.verdict === AcquireVerdict.GRANTED) {
-            const usableFrom = clock.now() + response.delayMs;
-            const usableUntil = sentAt + response.delayMs + response.useWithinMs;
-            return holder === parts.self() ? { kind: "granted", usableFrom, usableUntil } : { kind: "unanswered" };
+        if (holder !== parts.self() || !isDecision(response)) {
+            return [];
         }
+        const now = clock.now();
+        const granted: TokenOutcome[] = response.delaysMs.map(delayMs => ({
+            kind: "granted",
+            usableFrom: now + delayMs,
+            usableUntil: sentAt + delayMs + response.useWithinMs,
+        }));
+        const refusal: TokenOutcome = { kind: "refused", retryAfterMs: response.retryAfterMs };
         return response.verdict === AcquireVerdict.REFUSED
-            ? { kind: "refused", retryAfterMs: response.retryAfterMs }
-            : { kind: "unanswered" };
+            ? [...granted, ...new Array<TokenOutcome>(wanted.tokens - granted.length).fill(refusal)]
+            : granted;
+    }
+
+    /** Asks for the tokens of all waiting requests together, so that one call an organisation is under way. */
+    async function askForWaiters(organisation: string, state: OrganisationState): Promise<void> {
+        state.asking = true;
+        while (state.waiters.length > 0) {
+            const batch = state.waiters.splice(0, maxTokensPerRequest);
+            const latest = Math.max(...batch.map(({ deadlineAt }) => deadlineAt));
+            const outcomes = await acquire(organisation, state, {
+                tokens: batch.length,
+                maxDelayMs: latest - minServiceMs - clock.now(),
+            });
+            batch.forEach((waiter, index) => waiter.settle(outcomes[index] ?? { kind: "unanswered" }));
+        }
+        state.asking = false;
+    }
+
+    function requestToken(organisation: string, state: OrganisationState, deadlineAt: number): Promise<TokenOutcome> {
+        return new Promise(settle => {
+            state.waiters.push({ deadlineAt, settle });
+            if (!state.asking) {
+                void askForWaiters(organisation, state);
+            }
+        });
     }
 
     function refuse(code: QuotaRefusal["code"], message: string, retryAfterMs: number): Result<void, QuotaRefusal> {
@@ -176,11 +218,11 @@
                 if (now < state.refusedUntil) {
                     return refuse("rate_exceeded", "the organisation's rate is used up", state.refusedUntil - now);
                 }
-                const outcome = await acquire(request.organisation, state, {
-                    tokens: 1,
-                    maxDelayMs: request.deadlineAt - minServiceMs - now,
-                });
+                const outcome = await requestToken(request.organisation, state, request.deadlineAt);
                 if (outcome.kind === "refused") {
+                    if (takeLocally(state) && parts.holdsLease()) {
+                        return ok(undefined);
+                    }
                     state.refusedUntil = clock.now() + Math.min(outcome.retryAfterMs, options.maxBookingDelayMs);
                     return refuse("rate_exceeded", "the organisation's rate is used up", outcome.retryAfterMs);
                 }
--- a/packages/quota/src/quota-options.ts
+++ b/packages/quota/src/quota-options.ts
@@ -2,7 +2,7 @@
 export interface QuotaOptions {
     /**
      * Longest time between sending an `Acquire` and using its grant, in milliseconds.
-     * @default 50
+     * @default 100
      */
     acquireTimeoutMs?: number;
     /**
@@ -49,7 +49,7 @@
 /** Fills in the defaults. */
 export function resolveQuotaOptions(options: QuotaOptions = {}): ResolvedQuotaOptions {
     return {
-        acquireTimeoutMs: 50,
+        acquireTimeoutMs: 100,
         maxBookingDelayMs: 250,
         recoveryMs: 5_000,
         recoveryBookingDelayMs: 2_000,
--- a/packages/quota/src/quota-owner.ts
+++ b/packages/quota/src/quota-owner.ts
@@ -73,6 +73,10 @@
 /** Delegations carry more than the present demand, since demand at one instance varies. */
 const delegationHeadroom = 1.5;
 const unknownOrganisationRetryMs = 200;
+/** Largest number of tokens booked by one request; bounds the work of one call. */
+export const maxTokensPerRequest = 64;
+/** Longest time that fits the message's field and a caller's Retry-After sensibly: one day. */
+const maxRetryAfterMs = 86_400_000;
 
 /** Creates the owner side of the quota. */
 export function createQuotaOwner(parts: QuotaOwnerParts, options: ResolvedQuotaOptions): QuotaOwner {
@@ -224,19 +228,34 @@
         return asMessage(delegation, level);
     }
 
+    function bookTokens(
+        owned: OwnedBucket,
+        tokens: number,
+        now: number,
+        maxDelayMs: number,
+    ): { delaysMs: number[]; retryAfterMs: number; } {
+        const delaysMs: number[] = [];
+        while (delaysMs.length < Math.min(tokens, maxTokensPerRequest)) {
+            const booking = owned.bucket.book(1, now, maxDelayMs);
+            if (!booking.granted) {
+                return { delaysMs, retryAfterMs: booking.retryAfterMs };
+            }
+            delaysMs.push(Math.ceil(booking.delayMs));
+        }
+        return { delaysMs, retryAfterMs: 0 };
+    }
+
     function answer(shard: OwnedShard, request: AcquireRequest, limit: QuotaLimit): AcquireResponse {
         const now = clock.now();
         const owned = bucketOf(request.organisation, shard, limit, now);
         owned.demands.set(request.incarnation, { perSecond: request.demandPerSecond, reportedAt: now });
         takeBack(owned, request, limit, now);
-        const booking = request.tokens === 0
-            ? { granted: true as const, delayMs: 0 }
-            : owned.bucket.book(request.tokens, now, maxBookingDelay(shard, request, now));
+        const { delaysMs, retryAfterMs } = bookTokens(owned, request.tokens, now, maxBookingDelay(shard, request, now));
         const delegation = extend(owned, request, limit, now) ?? delegate(owned, request, limit, now);
         return create(AcquireResponseSchema, {
-            verdict: booking.granted ? AcquireVerdict.GRANTED : AcquireVerdict.REFUSED,
-            delayMs: booking.granted ? Math.ceil(booking.delayMs) : 0,
-            retryAfterMs: booking.granted ? 0 : Math.ceil(Math.min(booking.retryAfterMs, 2 ** 31)),
+            verdict: delaysMs.length === request.tokens ? AcquireVerdict.GRANTED : AcquireVerdict.REFUSED,
+            delaysMs,
+            retryAfterMs: Math.ceil(Math.min(retryAfterMs, maxRetryAfterMs)),
             delegation,
             useWithinMs: Math.floor(maxGrantShiftMs(limit, options)),
         });
