Apply gray failures to targets that get requests

Change: the choice is among the targets with at least half of an even share of the requests so far. Targets start four at a time.

--- a/packages/experiment/src/experiments.ts
+++ b/packages/experiment/src/experiments.ts
@@ -54,8 +54,18 @@
 const raceSettleMs = 5_000;
 const listRemovalMs = 2_000;
 
-function pickTarget({ fleet, random }: ExperimentContext): TargetProcess {
-    return random.pick(fleet.targets);
+/**
+ * Picks a target that gets at least half of an even share of the requests, the busiest one otherwise. A fault of a
+ * target without requests would show nothing.
+ */
+async function pickTarget({ fleet, random, faults }: ExperimentContext): Promise<TargetProcess> {
+    const executions = await fleet.fetchExecutions();
+    const candidates = fleet.targets
+        .filter(({ id }) => faults.every(({ target }) => target !== id))
+        .map(target => ({ target, count: executions.filter(execution => execution.target === target.id).length }))
+        .sort((a, b) => b.count - a.count);
+    const busy = candidates.filter(({ count }) => count >= executions.length / fleet.targets.length / 2);
+    return random.pick(busy.length > 0 ? busy : candidates.slice(0, 1)).target;
 }
 
 /** Makes one target bad from 25% to 85% of the run. */
@@ -67,7 +77,7 @@
             {
                 at: 0.25,
                 async run(context) {
-                    target = pickTarget(context);
+                    target = await pickTarget(context);
                     await context.fleet.setTarget(target, behaviour);
                     fault = { target: target.id, from: sharedNow(), to: Infinity };
                     context.faults.push(fault);
@@ -322,4 +332,15 @@
             return [first, second].flatMap(name => singleExperiments[name]!.createSteps(random));
         },
     },
+    "gray-partition-outage": {
+        description: "a slow target, a one-way partition and an unavailable log at the same time",
+        baselines: [],
+        hasRelays: true,
+        createSteps: random => [
+            ...singleExperiments["gray-slow"]!.createSteps(random),
+            ...singleExperiments["one-way-partition"]!.createSteps(random),
+            { at: 0.25, run: ({ fleet }) => fleet.setLog({ outage: true }) },
+            { at: 0.85, run: ({ fleet }) => fleet.setLog({ outage: false }) },
+        ],
+    },
 };
--- a/packages/experiment/src/fleet.ts
+++ b/packages/experiment/src/fleet.ts
@@ -77,6 +77,8 @@
 }
 
 const readyTimeoutMs = 30_000;
+/** Targets started at once; more would only compete for the cores. */
+const startsAtOnce = 4;
 const service = "dossier";
 
 /** Sends JSON and returns the body of a successful response. */
@@ -132,6 +134,7 @@
     const entries: EntryProcess[] = [];
     const targets: TargetProcess[] = [];
     const rewrites: Record<string, Record<string, { port?: number; innerPort?: number; }>> = {};
+    let nextTarget = 0;
     let relay: StandInProcess | undefined;
 
     async function add<Started extends Child>(starting: Promise<Started>): Promise<Started> {
@@ -187,7 +190,7 @@
                 return entry;
             },
             async startTarget({ coldMs }) {
-                const number = targets.length;
+                const number = nextTarget++;
                 const id = `dossier-${number}`;
                 const started = await add(startStandIn("target", [
                     ...["--id", id, "--seed", String(options.seed * 1_000 + number), "--cold-ms", String(coldMs)],
@@ -267,9 +270,12 @@
             return changesOf(limit, key);
         });
         await fleet.edit(changes);
-        for (let started = 0; started < options.targets; started += 1) {
-            await fleet.startTarget({ coldMs: 0 });
+        while (nextTarget < options.targets) {
+            const count = Math.min(startsAtOnce, options.targets - nextTarget);
+            await Promise.all(Array.from({ length: count }, () => fleet.startTarget({ coldMs: 0 })));
         }
+        // Steps choose targets by position, so the order must not depend on which process started first.
+        targets.sort((a, b) => a.id.localeCompare(b.id, "en", { numeric: true }));
         for (let started = 0; started < options.instances; started += 1) {
             await fleet.startEntry();
         }
