Decide refusals within rate by what callers sent

Cause: repeated submissions use an organisation's rate, so a refusal could be counted although the caller was over its rate, and the organisation that bursts on purpose counted as worst served.

Change: a virtual bucket over all submissions of an organisation decides; an organisation that bursts is left out of the worst served and of the refusals.

--- a/packages/experiment/src/run-experiment.ts
+++ b/packages/experiment/src/run-experiment.ts
@@ -146,6 +146,9 @@
                 ...service,
                 to: Math.min(loadEndedAt, leavingAt.get(service.target) ?? Infinity),
             })),
+            burstingOrganisations: organisations
+                .filter(({ isWithinPlan }) => !isWithinPlan)
+                .map(({ limit }) => limit.organisation),
             controlBytesPerSecond: bytesBefore === undefined || bytesAfter === undefined
                 ? undefined
                 : (bytesAfter - bytesBefore) / (loadEndedAt - loadStartedAt) * 1_000 / instances,
--- a/test/experiment/load.test.ts
+++ b/test/experiment/load.test.ts
@@ -4,9 +4,10 @@
 import type { AddressInfo } from "node:net";
 import type { Balancer } from "../../packages/experiment/src/balancer";
 import type { EntryProcess } from "../../packages/experiment/src/fleet";
+import type { Submission } from "../../packages/experiment/src/history";
 import { runLoad, scheduleCalls } from "../../packages/experiment/src/load";
 import type { OrganisationLoad } from "../../packages/experiment/src/load";
-import { countFalseEjections, measureDetection } from "../../packages/experiment/src/measures";
+import { countFalseEjections, countRefusedWithinRate, measureDetection } from "../../packages/experiment/src/measures";
 import type { Observations } from "../../packages/experiment/src/measures";
 import { checkRateBound } from "../../packages/experiment/src/rate-bound";
 
@@ -115,6 +116,14 @@
         expect(countFalseEjections({ ...observations, faults })).toBe(0);
     });
 
+    it("does not count the refusal of a repeated submission that went over the rate", () => {
+        const limit = { organisation: "small-0", ratePerSecond: 1, burst: 2 };
+        const submissions = [0, 10, 20, 1_100].map(sentAt => {
+            return { organisation: "small-0", isEntitled: true, sentAt, status: sentAt >= 20 ? 429 : 200 };
+        }) as Submission[];
+        expect(countRefusedWithinRate(submissions, limit)).toBe(1);
+    });
+
     it("does not take the end of a burst for ejections", () => {
         const executions = executionsOf((target, at) => target === "t-1" || at < 4_000);
         const services = ["t-0", "t-1", "t-2"].map(target => ({ target, from: 0, to: 10_000 }));
