--- a/packages/entry/src/inner-server.ts
+++ b/packages/entry/src/inner-server.ts
@@ -5,6 +5,7 @@
 import { Hono } from "hono";
 import { createServer } from "node:http";
 import type { Server } from "node:http";
+import type { Socket } from "node:net";
 
 /** What the inner listener serves. */
 export interface InnerServerParts {
@@ -15,11 +16,31 @@
     renderStatus(options: { histograms: boolean; }): string;
 }
 
+/** The inner listener and the bytes that passed it. */
+export interface InnerServer {
+    server: Server;
+    /** Bytes received and sent on connections from other instances since the start. */
+    trafficBytes(): number;
+}
+
+function countTraffic(server: Server): () => number {
+    const open = new Set<Socket>();
+    let closedBytes = 0;
+    server.on("connection", socket => {
+        open.add(socket);
+        socket.once("close", () => {
+            open.delete(socket);
+            closedBytes += socket.bytesRead + socket.bytesWritten;
+        });
+    });
+    return () => [...open].reduce((sum, socket) => sum + socket.bytesRead + socket.bytesWritten, closedBytes);
+}
+
 /**
  * Creates the server of the inner listener: the inner protocol, relayed requests and the health endpoints.
  * `/live` is 200 while the process runs; `/ready` is 200 while it admits requests and does not stop.
  */
-export function createInnerServer(parts: InnerServerParts): Server {
+export function createInnerServer(parts: InnerServerParts): InnerServer {
     const app = new Hono();
     app.get("/live", context => context.json({ live: true }));
     app.get("/ready", context => {
@@ -32,8 +53,9 @@
     });
     app.route("/", parts.proxy.relay as unknown as Hono);
     const fallback = getRequestListener(app.fetch);
-    return createServer(connectNodeAdapter({
+    const server = createServer(connectNodeAdapter({
         routes: parts.routes,
         fallback: (request, response) => void fallback(request as never, response as never),
     }));
+    return { server, trafficBytes: countTraffic(server) };
 }
--- a/packages/entry/src/status.ts
+++ b/packages/entry/src/status.ts
@@ -13,6 +13,8 @@
     membership: Membership;
     follower: ConfigurationFollower;
     quotaOwner: QuotaOwner;
+    /** Bytes on the inner listener since the start. */
+    trafficBytes(): number;
 }
 
 /** Renders the status document of this instance as JSON. It contains no secrets. */
@@ -30,6 +32,7 @@
         lease: { held: membership.holdsLease(), remainingMs: Math.max(0, membership.leaseUntil() - now) },
         members: membership.members().length,
         quota: quotaOwner.describe().map(bucket => ({ role: "owner", ...bucket })),
+        innerTrafficBytes: parts.trafficBytes(),
         counters: telemetry.snapshot(),
         ...(options.histograms ? { histograms } : {}),
     });
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -112,9 +112,17 @@
         },
     });
 
-    const statusParts = { settings, clock, telemetry, membership, follower, quotaOwner };
+    const statusParts = {
+        settings,
+        clock,
+        telemetry,
+        membership,
+        follower,
+        quotaOwner,
+        trafficBytes: () => inner.trafficBytes(),
+    };
     const callerServer = createCallerServer(proxy);
-    const innerServer = createInnerServer({
+    const inner = createInnerServer({
         proxy,
         routes: fleetRoutes({
             membership,
@@ -137,7 +145,7 @@
         watchPeerOffsets({ membership, follower, clock }, stopping.signal),
         followInstanceList({ instanceList, router, membership, clock, telemetry }, stopping.signal),
     ];
-    listen(innerServer, settings.inner);
+    listen(inner.server, settings.inner);
     listen(callerServer, settings.listen, () => telemetry.stateChange("listening", { port: settings.listen.port }));
 
     return {
@@ -153,8 +161,8 @@
                 drainMs: settings.drainSeconds * 1000,
             });
             stopping.abort();
-            innerServer.close();
-            innerServer.closeAllConnections();
+            inner.server.close();
+            inner.server.closeAllConnections();
             await Promise.all(tasks);
             await Promise.all([proxy.close(), router.close(), log.close(), instanceList.close()]);
             telemetry.close();
--- a/packages/experiment/src/main.ts
+++ b/packages/experiment/src/main.ts
@@ -1,6 +1,8 @@
 import { Command } from "commander";
 import { runBench } from "./bench";
 import type { BenchOptions } from "./bench";
+import { measureControlCost } from "./control-cost";
+import type { ControlCostOptions } from "./control-cost";
 import { experiments } from "./experiments";
 import { startPassThrough } from "./pass-through";
 import { runExperiment } from "./run-experiment";
@@ -66,6 +68,15 @@
         console.log(JSON.stringify(await runBench(options), undefined, 2));
     });
 
+program.command("control-cost")
+    .description("measure what an idle entry instance spends on control at several fleet sizes")
+    .option("--sizes <list>", "fleet sizes", text => text.split(",").map(Number), [6, 12, 24, 48])
+    .option("--seconds <seconds>", "duration of each measurement", Number, 10)
+    .option("--seed <seed>", "seed of the stand-ins", Number, 1)
+    .action(async (options: ControlCostOptions) => {
+        console.log(JSON.stringify(await measureControlCost(options), undefined, 2));
+    });
+
 program.command("pass-through", { hidden: true })
     .description("bare proxy, started by the benchmark")
     .requiredOption("--port <port>", "port on loopback", Number)
