--- /dev/null
+++ b/models/quota.pml
@@ -0,0 +1,160 @@
+/*
+ * Tokens of one organisation between the owner of its shard, a successor and two holders of delegations.
+ *
+ * The owner's bucket starts with LEVEL tokens and gets none afterwards, so the sum of the tokens used must stay within
+ * LEVEL over every loss, crash and succession. A delegation names its term; the holder counts it from the moment it sent
+ * the request and the owner from the moment it answered. Time passes in ticks and no step is urgent.
+ *
+ * After a succession the level starts at 0 and fills again, here in one step. The successor may issue only after the
+ * terms that the previous owner granted have ended, so the tokens usable at one moment never exceed LEVEL.
+ */
+#ifndef LEVEL
+#define LEVEL 2
+#endif
+#define TERM 2
+#define EXPIRED (TERM + 1)
+
+/* Tokens that can be used now, by place. */
+byte bucket[2];   /* level at the owner and at the successor */
+byte held[2];     /* unused tokens of each holder's delegation */
+byte held_for[2]; /* ticks at the holder since the request was sent */
+byte request[2];  /* 0 none, 1 under way */
+byte asked_for[2];
+byte response[2]; /* tokens in a response under way */
+bool answered[2];
+byte booked[2];   /* tokens that the owner counts as delegated */
+byte booked_for[2];
+bool dead;        /* the first owner crashed or lost its lease for good */
+bool issuing;     /* the successor issues */
+byte since;       /* ticks since the succession */
+byte used;        /* tokens used by anyone since the start */
+byte refilled;    /* tokens that plan time has allowed since the start */
+
+#define AT_ONCE (bucket[0] + bucket[1] + held[0] + held[1])
+
+inline expire(h) {
+    held[h] = 0;
+    held_for[h] = 0
+}
+
+proctype holder(byte h) {
+end:
+    do
+    /* Ask for a delegation. */
+    :: d_step { !request[h] && !answered[h] && held[h] == 0 -> request[h] = 1; asked_for[h] = 0 }
+    /* Use the delegation within its term. */
+    :: d_step { held[h] > 0 && held_for[h] < TERM -> held[h]--; used++ }
+    /* Drop it at the end of the term. */
+    :: d_step { held[h] > 0 && held_for[h] >= TERM -> expire(h) }
+    /* Take the response; its age counts from the request. */
+    :: d_step { answered[h] ->
+            answered[h] = false;
+            request[h] = 0;
+            held[h] = response[h];
+#ifdef MUTANT_TERM_FROM_RECEIPT
+            held_for[h] = 0;
+#else
+            held_for[h] = asked_for[h];
+#endif
+            response[h] = 0;
+            asked_for[h] = 0 }
+    /* Lose the request or the response, or crash. */
+    :: d_step { request[h] -> request[h] = 0; answered[h] = false; response[h] = 0; asked_for[h] = 0 }
+    :: d_step { held[h] > 0 -> expire(h) }
+    od
+}
+
+/* The owner is process 0 and the successor process 1 of the same code; the successor serves once it issues. */
+proctype owner(byte o) {
+    byte h;
+end:
+    do
+    :: atomic { ((o == 0 && !dead) || (o == 1 && issuing)) ->
+            if
+            :: h = 0
+            :: h = 1
+            fi;
+            if
+            /* Answer a request: debit before credit. */
+            :: request[h] && !answered[h] && bucket[o] > 0 && booked[h] == 0 ->
+                response[h] = 1;
+#ifndef MUTANT_CREDIT_WITHOUT_DEBIT
+                bucket[o]--;
+#endif
+                booked[h] = 1;
+                booked_for[h] = 0;
+                answered[h] = true
+            /* The term ended for sure: the unused part is not known, so nothing but the rate returns. */
+            :: booked[h] > 0 && booked_for[h] >= EXPIRED -> booked[h] = 0; booked_for[h] = 0
+            /* Use a token for a request of its own. */
+            :: bucket[o] > 0 -> bucket[o]--; used++
+            :: else
+            fi;
+            h = 0 }
+    od
+}
+
+/* Succession: everything of the first owner is void, and the level starts at 0. */
+proctype succession() {
+    d_step { !dead -> dead = true; bucket[0] = 0; booked[0] = 0; booked[1] = 0; booked_for[0] = 0; booked_for[1] = 0 }
+    d_step {
+#ifdef MUTANT_NO_TERM_WAIT
+        true ->
+#else
+        since >= EXPIRED ->
+#endif
+        issuing = true; bucket[1] = LEVEL; refilled = LEVEL }
+}
+
+proctype ticks() {
+    byte h;
+end:
+    do
+    :: d_step {
+            h = 0;
+            do
+            :: h < 2 ->
+                if
+                :: request[h] && asked_for[h] < EXPIRED -> asked_for[h]++
+                :: else
+                fi;
+                if
+                :: held[h] > 0 && held_for[h] < EXPIRED -> held_for[h]++
+                :: else
+                fi;
+                if
+                :: booked[h] > 0 && booked_for[h] < EXPIRED -> booked_for[h]++
+                :: else
+                fi;
+                h++
+            :: else -> break
+            od;
+            h = 0;
+            if
+            :: dead && !issuing && since < EXPIRED -> since++
+            :: else
+            fi
+        }
+    od
+}
+
+/* Tokens that are usable at the same moment stay within LEVEL, and the total within what the plan allowed. */
+#define USABLE(h) ((held_for[h] < TERM) -> held[h] : 0)
+
+proctype monitor() {
+end:
+    d_step { bucket[0] + bucket[1] + USABLE(0) + USABLE(1) > LEVEL || used > LEVEL + refilled -> assert(false) }
+}
+
+init {
+    atomic {
+        bucket[0] = LEVEL;
+        run holder(0);
+        run holder(1);
+        run owner(0);
+        run owner(1);
+        run succession();
+        run ticks();
+        run monitor()
+    }
+}
--- a/packages/membership/src/gossip-membership.ts
+++ b/packages/membership/src/gossip-membership.ts
@@ -158,7 +158,7 @@
 const driftFactor = 1.01;
 const watchIntervalMs = 100;
 /** Share of D after which an incarnation without a fresh row is pulled directly. */
-const suspicionShare = 0.6;
+const suspicionShare = 0.8;
 /** Age above which the second slot prefers the peer with the oldest row. */
 const oldRowMs = 600;
 const maxProbes = 16;
