Build the routing package: slots, evidence, ejection and probing

Cause: the router sent to any listed target without bound, kept no evidence and never ejected a target.

Change: lazy pools of 8 connections, in-flight limits by AIMD between 1 and 6, slow start of new and returned targets, a bounded wait queue that is fair between organisations, draining and shed signs, evidence in windows of 1 to 4 s compared with the medians of the peers, ejection under a floor of 0.6 of the listed targets, a coordinator over the evidence rows of many instances, and probing duty by rendezvous hashing. The dispatcher of an attempt observes its own progress, so a response that stalls after its headers shows before the deadline.

--- a/packages/routing/src/attempt.ts
+++ b/packages/routing/src/attempt.ts
@@ -54,4 +54,9 @@
     excluded: ReadonlySet<string>;
     /** Aborts when the caller goes away. */
     signal: AbortSignal;
+    /**
+     * Whether the request may run twice. Others avoid targets that are cold or have just returned.
+     * @default true
+     */
+    idempotent?: boolean;
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,6 +1,16 @@
 export { attemptOutcome } from "./attempt";
 export type { Attempt, AttemptOutcome, AttemptReport, SlotRequest } from "./attempt";
+export { createEjectionCoordinator } from "./ejection-coordinator";
+export type { EjectionCoordinator, EjectionCoordinatorOptions } from "./ejection-coordinator";
+export type { FloorTarget } from "./floor";
+export { probersOf } from "./probing-duty";
+export type { ProbingMember } from "./probing-duty";
+export { createRandomSource } from "./random-source";
+export type { RandomSource } from "./random-source";
 export { createRouter } from "./router";
-export type { Router } from "./router";
+export type { EvidenceReport, Router, RouterOptions, TargetView } from "./router";
 export { RoutingFailure } from "./routing-failure";
+export type { RoutingFailureCode } from "./routing-failure";
+export { defaultRoutingPolicy } from "./routing-policy";
+export type { RoutingPolicy } from "./routing-policy";
 export type { Target } from "./target";
