--- a/test/configuration/configuration-follower.test.ts
+++ b/test/configuration/configuration-follower.test.ts
@@ -106,9 +106,12 @@
         const follower = start(log, {}, clock);
         await until(() => follower.isFresh(clock.now()));
         follower.noteHigherOffset(3, "entry-1~1");
-        expect(follower.isFresh(clock.now() + 1_999)).toBe(true);
+        const knownSince = clock.now();
+        await clock.advance(1_000);
+        // A later offset must not restart the time.
         follower.noteHigherOffset(9, "entry-1~1");
-        expect(follower.isFresh(clock.now() + 2_000)).toBe(false);
+        expect(follower.isFresh(knownSince + 1_999)).toBe(true);
+        expect(follower.isFresh(knownSince + 2_000)).toBe(false);
         await appendPlans(log, 9);
         await until(() => follower.configuration.appliedOffset === 9);
         expect(follower.isFresh(clock.now() + 60_000)).toBe(true);
@@ -128,6 +131,41 @@
         expect(follower.isFresh(performance.now())).toBe(true);
     });
 
+    it("guards against a peer's answer with a gap, which would lose the edits in it", async () => {
+        const log = createMemoryLog();
+        const peer = start(log);
+        await appendPlans(log, 6);
+        await until(() => peer.configuration.appliedOffset === 6);
+        const cut = createMemoryLog();
+        let answers = 0;
+        const follower = start(cut, {
+            ...peerParts(peer),
+            fetchRecordsFromPeer: async (_peer, from, limit) => {
+                answers++;
+                const { records } = peer.recordsFrom(from, limit);
+                return ok({ records: records.slice(2), appliedOffset: 6, firstOffset: 0 });
+            },
+        });
+        follower.noteHigherOffset(6, "entry-1~1");
+        await until(() => answers >= 2);
+        expect(follower.configuration.appliedOffset).toBe(0);
+    });
+
+    it("guards against a start from a snapshot whose writer stopped halfway", async () => {
+        const log = createMemoryLog();
+        const first = start(log);
+        await appendPlans(log, 8);
+        await until(() => first.configuration.appliedOffset === 8);
+        await writeSnapshot({ log, clock: createMonotonicClock() }, first.configuration);
+        const [chunk] = log.streams.get("snapshots")!;
+        await log.append("snapshots", { ...chunk!.value as object, appliedOffset: 99, checksum: "0" });
+        expect((await findNewestSnapshot(log))._unsafeUnwrap().end?.appliedOffset).toBe(8);
+        log.expire("configuration", 8);
+        const second = start(log);
+        await until(() => second.isFresh(performance.now()));
+        expect(renderSnapshot(second.configuration)).toBe(renderSnapshot(first.configuration));
+    });
+
     it("guards against an instance that admits before it has read any configuration", async () => {
         const log = createMemoryLog();
         log.away = true;
--- a/test/configuration/fold.test.ts
+++ b/test/configuration/fold.test.ts
@@ -91,10 +91,31 @@
             const whole = fold(createConfiguration(), records);
             const before = renderSnapshot(whole);
             replaceConfiguration(whole, parseSnapshot(renderSnapshot(older))._unsafeUnwrap());
+            expect(renderSnapshot(whole)).toBe(before);
             expect(renderSnapshot(fold(whole, records))).toBe(before);
         }));
     });
 
+    it("guards against an edit that is not accepted and yet changes something", () => {
+        fc.assert(
+            fc.property(stream, records => {
+                const configuration = createConfiguration();
+                const lists = () => {
+                    const { plans, organisations, keys, index } = configuration;
+                    return JSON.stringify([...plans, ...organisations, ...keys, ...index.keysByOrganisation].sort());
+                };
+                for (const record of records) {
+                    const before = lists();
+                    const isDuplicate = configuration.verdicts.has(record.value.id);
+                    if (applyRecord(configuration, record)?.code !== "accepted" || isDuplicate) {
+                        expect(lists()).toBe(before);
+                    }
+                }
+            }),
+            { numRuns: 500 },
+        );
+    });
+
     it("guards against a late duplicate that creates a revoked key again after its verdict was forgotten", () => {
         const configuration = createConfiguration();
         const key = { id: "aaaaaaaa", organisation: "laurel", secretHash: "0".repeat(64) };
