--- a/packages/entry/src/fleet-service.ts
+++ b/packages/entry/src/fleet-service.ts
@@ -3,12 +3,14 @@
 import type { MembershipService, ShardOwnershipService } from "@trefoilladder/membership";
 import { FleetService } from "@trefoilladder/protocol";
 import type { QuotaOwner } from "@trefoilladder/quota";
+import type { EvidenceExchange } from "./evidence-exchange";
 
 /** Parts that answer the calls of other entry instances. */
 export interface FleetServiceParts {
     membership: MembershipService;
     ownership: ShardOwnershipService;
     quotaOwner: QuotaOwner;
+    evidence: EvidenceExchange;
     follower: ConfigurationFollower;
     /** Renders the status document. */
     renderStatus(): string;
@@ -16,12 +18,13 @@
 
 /** Returns the routes of the inner protocol. */
 export function fleetRoutes(parts: FleetServiceParts): (router: ConnectRouter) => void {
-    const { membership, ownership, quotaOwner, follower } = parts;
+    const { membership, ownership, quotaOwner, evidence, follower } = parts;
     return router => {
         router.service(FleetService, {
             pullRows: request => membership.handlePullRows(request),
             acquire: request => quotaOwner.acquire(request),
             handover: (request, context) => ownership.handleHandover(request, context),
+            reportEvidence: request => evidence.report(request),
             fetchConfiguration(request) {
                 const page = follower.recordsFrom(Number(request.fromOffset), request.limit);
                 return {
--- a/packages/entry/src/status.ts
+++ b/packages/entry/src/status.ts
@@ -2,6 +2,7 @@
 import type { ConfigurationFollower } from "@trefoilladder/configuration";
 import type { Membership } from "@trefoilladder/membership";
 import type { QuotaOwner } from "@trefoilladder/quota";
+import type { Router } from "@trefoilladder/routing";
 import type { Settings } from "@trefoilladder/settings";
 import type { Telemetry } from "@trefoilladder/telemetry";
 
@@ -13,13 +14,14 @@
     membership: Membership;
     follower: ConfigurationFollower;
     quotaOwner: QuotaOwner;
+    router: Router;
     /** Bytes on the inner listener since the start. */
     trafficBytes(): number;
 }
 
 /** Renders the status document of this instance as JSON. It contains no secrets. */
 export function renderStatus(parts: StatusParts, options: { histograms: boolean; }): string {
-    const { settings, clock, telemetry, membership, follower, quotaOwner } = parts;
+    const { settings, clock, telemetry, membership, follower, quotaOwner, router } = parts;
     const now = clock.now();
     const histograms = Object.fromEntries(
         [...telemetry.histograms()].map(([name, histogram]) => [name, histogram.toString()]),
@@ -32,6 +34,26 @@
         lease: { held: membership.holdsLease(), remainingMs: Math.max(0, membership.leaseUntil() - now) },
         members: membership.members().length,
         quota: quotaOwner.describe().map(bucket => ({ role: "owner", ...bucket })),
+        targets: router.services().flatMap(service =>
+            router.targets(service).map(({ id, leaving, cold, ejected, inFlight, slots }) => ({
+                service,
+                id,
+                leaving,
+                cold,
+                ejected,
+                inFlight,
+                slots,
+            }))
+        ),
+        ejections: router.services().flatMap(service =>
+            router.ejections(service).map(({ target, domains, evidence, remainingMs }) => ({
+                service,
+                target,
+                domains,
+                evidence,
+                remainingMs,
+            }))
+        ),
         innerTrafficBytes: parts.trafficBytes(),
         counters: telemetry.snapshot(),
         ...(options.histograms ? { histograms } : {}),
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -7,12 +7,14 @@
 import { createFleetQuota, createLocalQuota, createQuotaOwner, resolveQuotaOptions } from "@trefoilladder/quota";
 import type { Quota } from "@trefoilladder/quota";
 import { createRouter } from "@trefoilladder/routing";
+import type { RoutingPolicy } from "@trefoilladder/routing";
 import type { Settings } from "@trefoilladder/settings";
 import { createTelemetry } from "@trefoilladder/telemetry";
 import { randomBytes } from "node:crypto";
 import { setMaxListeners } from "node:events";
 import type { Server } from "node:http";
 import { configurationPeers, watchPeerOffsets } from "./configuration-peers";
+import { createEvidenceExchange } from "./evidence-exchange";
 import { fleetRoutes } from "./fleet-service";
 import { createInnerServer } from "./inner-server";
 import { followInstanceList } from "./instance-list-follower";
@@ -95,7 +97,22 @@
         ? createLocalQuota({ clock }, { share: 1 / evenSplitInstances })
         : fleetQuota;
 
-    const router = createRouter();
+    const policy = routingPolicy(settings);
+    const router = createRouter({
+        clock,
+        telemetry,
+        self: { id: settings.instanceId, domain: settings.domain },
+        policy,
+    });
+    const evidence = createEvidenceExchange({
+        clock,
+        telemetry,
+        membership,
+        ownership,
+        router,
+        domain: settings.domain,
+        policy,
+    });
     const isAdmitting = () => membership.holdsLease() && follower.isFresh(clock.now());
     const proxy = createProxy({
         configuration: follower.configuration,
@@ -119,6 +136,7 @@
         membership,
         follower,
         quotaOwner,
+        router,
         trafficBytes: () => inner.trafficBytes(),
     };
     const callerServer = createCallerServer(proxy);
@@ -128,6 +146,7 @@
             membership,
             ownership,
             quotaOwner,
+            evidence,
             follower,
             renderStatus: () => renderStatus(statusParts, { histograms: false }),
         }),
@@ -145,6 +164,9 @@
         watchPeerOffsets({ membership, follower, clock }, stopping.signal),
         followInstanceList({ instanceList, router, membership, clock, telemetry }, stopping.signal),
     ];
+    if (settings.baseline !== "own-evidence" && settings.baseline !== "no-ejection") {
+        tasks.push(evidence.run(stopping.signal));
+    }
     listen(inner.server, settings.inner);
     listen(callerServer, settings.listen, () => telemetry.stateChange("listening", { port: settings.listen.port }));
 
@@ -170,6 +192,17 @@
     };
 }
 
+/** Returns the routing policy of the settings; without ejection the floor is the whole capacity. */
+function routingPolicy(settings: Settings): Partial<RoutingPolicy> {
+    if (settings.baseline === "no-ejection") {
+        return { floor: 1 };
+    }
+    // One policy serves every service, so the strictest floor of them holds for all.
+    return settings.services.length === 0
+        ? {}
+        : { floor: Math.max(...settings.services.map(({ floorFraction }) => floorFraction)) };
+}
+
 function listen(server: Server, at: { address: string; port: number; }, listening?: () => void): void {
     server.listen(at.port, at.address, listening);
 }
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -52,7 +52,7 @@
 export interface ProxyParts {
     configuration: Configuration;
     quota: Quota;
-    router: Router;
+    router: Pick<Router, "acquire">;
     clock: Clock;
     telemetry: Telemetry;
     /** Without it the instance always admits. */
--- a/packages/proxy/src/request-run.ts
+++ b/packages/proxy/src/request-run.ts
@@ -30,7 +30,7 @@
 export interface RunParts {
     configuration: Configuration;
     quota: Quota;
-    router: Router;
+    router: Pick<Router, "acquire">;
     clock: Clock;
     telemetry: Telemetry;
     options: ResolvedProxyOptions;
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -75,6 +75,8 @@
     services(): string[];
     /** Returns the listed targets of a service. */
     targets(service: string): TargetView[];
+    /** Returns the ejections in force for a service, the coordinator's or this instance's own. */
+    ejections(service: string): EjectionDecision[];
     /** Returns the evidence since the previous call for the service. */
     collectEvidence(service: string): EvidenceReport;
     /** Puts the decisions of a service's coordinator in force; an answer of another instance changes nothing. */
@@ -133,6 +135,12 @@
         }));
     }
 
+    function ejectionsInForce(service: ServiceState, now: number): EjectionDecision[] {
+        const ejections = service.fleet?.ejections
+            ?? [...service.own.values()].map(ejection => ({ ...ejection, domains: [self.domain] }));
+        return ejections.map(ejection => toDecision(ejection, now));
+    }
+
     function isProber(target: string): boolean {
         return members.length === 0 || probersOf(target, members).some(({ id }) => id === self.id);
     }
@@ -500,15 +508,14 @@
             const rows = [...service.targets.values()].map(state =>
                 collectRow(state, totals.get(state.target.id)!, since, now)
             );
-            const inForce = service.fleet?.ejections
-                ?? [...service.own.values()].map(ejection => ({ ...ejection, domains: [self.domain] }));
             service.collectedAt = now;
             return {
                 intervalMs: Math.round(now - since),
                 targets: rows.filter(row => row.requests + row.overdue + row.probes > 0),
-                inForce: inForce.map(ejection => toDecision(ejection, now)),
+                inForce: ejectionsInForce(service, now),
             };
         },
+        ejections: name => ejectionsInForce(serviceOf(name), clock.now()),
         applyDecisions(name, response) {
             if (!response.isCoordinator) {
                 return;
--- a/test/proxy/fixtures.ts
+++ b/test/proxy/fixtures.ts
@@ -58,7 +58,7 @@
     const pools = origins.map(origin => new Pool(origin, { connections: 1, pipelining: 1 }));
     const reports: (AttemptReport & { target: string; })[] = [];
     const state = { held: 0 };
-    const router: Router = {
+    const router: Pick<Router, "update" | "acquire" | "close"> = {
         update: () => undefined,
         async acquire({ excluded }) {
             await beforeSlot();
--- a/test/proxy/forwarding.test.ts
+++ b/test/proxy/forwarding.test.ts
@@ -309,8 +309,6 @@
     it("releases an attempt whose dispatcher throws", async () => {
         const fixture = await proxy([await closedOrigin()], {}, {
             router: {
-                update: () => undefined,
-                close: async () => undefined,
                 acquire: async () =>
                     ok({
                         target: { id: "t0", service: "dossier", origin: "http://127.0.0.1:1", domain: "a" },
