--- a/packages/entry/src/quota-limit.ts
+++ b/packages/entry/src/quota-limit.ts
@@ -8,5 +8,6 @@
     const plan = organisation.startsWith(openPrefix)
         ? organisation.slice(openPrefix.length)
         : configuration.organisations.get(organisation)?.value.plan;
-    return plan === undefined ? undefined : configuration.plans.get(plan)?.value;
+    const found = plan === undefined ? undefined : configuration.plans.get(plan)?.value;
+    return found === undefined ? undefined : { ratePerSecond: found.ratePerSecond, burst: found.burst };
 }
--- a/packages/entry/src/status.ts
+++ b/packages/entry/src/status.ts
@@ -4,6 +4,7 @@
 import type { QuotaOwner } from "@trefoilladder/quota";
 import type { Router } from "@trefoilladder/routing";
 import type { Settings } from "@trefoilladder/settings";
+import { encodeHistograms } from "@trefoilladder/telemetry";
 import type { Telemetry } from "@trefoilladder/telemetry";
 
 /** Parts that the status document describes. */
@@ -23,9 +24,6 @@
 export function renderStatus(parts: StatusParts, options: { histograms: boolean; }): string {
     const { settings, clock, telemetry, membership, follower, quotaOwner, router } = parts;
     const now = clock.now();
-    const histograms = Object.fromEntries(
-        [...telemetry.histograms()].map(([name, histogram]) => [name, histogram.toString()]),
-    );
     return JSON.stringify({
         instanceId: settings.instanceId,
         incarnation: membership.self(),
@@ -56,6 +54,6 @@
         ),
         innerTrafficBytes: parts.trafficBytes(),
         counters: telemetry.snapshot(),
-        ...(options.histograms ? { histograms } : {}),
+        ...(options.histograms ? { histograms: encodeHistograms(telemetry.histograms()) } : {}),
     });
 }
--- a/packages/quota/src/quota-owner.ts
+++ b/packages/quota/src/quota-owner.ts
@@ -29,12 +29,20 @@
     nextDelegationNumber(): bigint;
 }
 
+/** Bucket of an organisation as the status page shows it. */
+export interface OwnedBucketDescription extends QuotaLimit {
+    organisation: string;
+    level: number;
+    /** Number of delegations whose term has not ended. */
+    delegations: number;
+}
+
 /** Owner side of the quota: the token buckets of the organisations whose shards this instance owns. */
 export interface QuotaOwner extends ShardStateHolder {
     /** Answers a request for tokens. */
     acquire(request: AcquireRequest): AcquireResponse;
     /** Describes the buckets, for the status page. */
-    describe(): { organisation: string; level: number; delegations: number; }[];
+    describe(): OwnedBucketDescription[];
 }
 
 interface OwnedDelegation extends QuotaLimit {
@@ -318,6 +326,7 @@
             return [...shards.values()].flatMap(shard =>
                 [...shard.buckets].map(([organisation, owned]) => ({
                     organisation,
+                    ...(parts.limitOf(organisation) ?? { ratePerSecond: 0, burst: 0 }),
                     level: owned.bucket.level(now),
                     delegations: owned.delegations.size,
                 }))
