Keep an owner reachable through other instances and during its handover

An entry process whose port was taken ended with an unhandled error.

A taken port gives a message and exit code 69. The experiment tool takes ports below the range of outgoing connections.

--- a/packages/entry/src/fleet-service.ts
+++ b/packages/entry/src/fleet-service.ts
@@ -2,14 +2,14 @@
 import type { ConfigurationFollower } from "@trefoilladder/configuration";
 import type { MembershipService, ShardOwnershipService } from "@trefoilladder/membership";
 import { FleetService } from "@trefoilladder/protocol";
-import type { QuotaOwner } from "@trefoilladder/quota";
 import type { EvidenceExchange } from "./evidence-exchange";
+import type { OwnerCall } from "./owner-call";
 
 /** Parts that answer the calls of other entry instances. */
 export interface FleetServiceParts {
     membership: MembershipService;
     ownership: ShardOwnershipService;
-    quotaOwner: QuotaOwner;
+    ownerCall: OwnerCall;
     evidence: EvidenceExchange;
     follower: ConfigurationFollower;
     /** Renders the status document. */
@@ -18,11 +18,11 @@
 
 /** Returns the routes of the inner protocol. */
 export function fleetRoutes(parts: FleetServiceParts): (router: ConnectRouter) => void {
-    const { membership, ownership, quotaOwner, evidence, follower } = parts;
+    const { membership, ownership, ownerCall, evidence, follower } = parts;
     return router => {
         router.service(FleetService, {
             pullRows: request => membership.handlePullRows(request),
-            acquire: request => quotaOwner.acquire(request),
+            acquire: request => ownerCall.answer(request),
             handover: (request, context) => ownership.handleHandover(request, context),
             reportEvidence: request => evidence.report(request),
             fetchConfiguration(request) {
--- /dev/null
+++ b/packages/entry/src/index.ts
@@ -0,0 +1,2 @@
+export { createOwnerCall } from "./owner-call";
+export type { OwnerCall, OwnerCallParts } from "./owner-call";
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -2,7 +2,7 @@
 import { Command } from "commander";
 import { startEntryInstance } from "./wiring";
 
-const exitCode = { ok: 0, wrongUsage: 64, badSettings: 78 } as const;
+const exitCode = { ok: 0, wrongUsage: 64, portTaken: 69, badSettings: 78 } as const;
 
 async function run(settingsPath: string): Promise<void> {
     const settings = loadSettings(settingsPath);
@@ -13,7 +13,10 @@
         console.error(settings.error.message);
         process.exit(exitCode.badSettings);
     }
-    const instance = startEntryInstance(settings.value);
+    const instance = await startEntryInstance(settings.value).catch((failure: Error) => {
+        console.error(failure.message);
+        process.exit(exitCode.portTaken);
+    });
     let stopped: Promise<void> | undefined;
     const stop = () => {
         // A second signal joins the stop that is under way.
@@ -29,7 +32,7 @@
     .version("0.1.0")
     .option("--settings <file>", "settings file (YAML)")
     .option("--print-defaults", "print every setting with its default and exit")
-    .addHelpText("after", "\nExit codes: 0 stopped on a signal, 64 wrong usage, 78 wrong settings")
+    .addHelpText("after", "\nExit codes: 0 stopped on a signal, 64 wrong usage, 69 a port is taken, 78 wrong settings")
     .action((options: { settings?: string; printDefaults?: boolean; }) => {
         if (options.printDefaults === true) {
             console.log(renderDefaultSettings());
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -1,5 +1,6 @@
 import { createMonotonicClock } from "@trefoilladder/clock";
 import { createConfigurationFollower } from "@trefoilladder/configuration";
+import { Failure } from "@trefoilladder/failures";
 import { createIdempotencyRegister } from "@trefoilladder/idempotency";
 import { createMembership, createRoster, createShardOwnership, instanceIdOf, shardOf } from "@trefoilladder/membership";
 import { createInstanceListClient, createLogClient } from "@trefoilladder/platform";
@@ -32,8 +33,8 @@
 /** Instances that the even-split baseline divides each organisation's limit by. */
 const evenSplitInstances = 48;
 
-/** Constructs the parts of an entry instance and starts them. */
-export function startEntryInstance(settings: Settings): EntryInstance {
+/** Constructs the parts of an entry instance and starts them; fails with `listen_failed` when a port is taken. */
+export async function startEntryInstance(settings: Settings): Promise<EntryInstance> {
     const stopping = new AbortController();
     // Every long-running task listens to this signal.
     setMaxListeners(0, stopping.signal);
@@ -83,6 +84,7 @@
         nextDelegationNumber: () => BigInt(++lastDelegationNumber),
     }, quotaOptions);
     const ownership = createShardOwnership({ membership, roster, holders: [quotaOwner], clock, telemetry });
+    const ownerCall = createOwnerCall({ clock, membership, ownership, quotaOwner, telemetry, random: Math.random });
     const fleetQuota = createFleetQuota({
         clock,
         telemetry,
@@ -90,7 +92,7 @@
         holdsLease: () => membership.holdsLease(),
         isFenced: incarnation => membership.isFenced(incarnation),
         presumedOwner: shard => ownership.presumedOwner(shard),
-        callOwner: createOwnerCall({ membership, quotaOwner, telemetry }),
+        callOwner: ownerCall.call,
         random: Math.random,
     }, quotaOptions);
     const quota: Quota = settings.baseline === "even-split"
@@ -145,7 +147,7 @@
         routes: fleetRoutes({
             membership,
             ownership,
-            quotaOwner,
+            ownerCall,
             evidence,
             follower,
             renderStatus: () => renderStatus(statusParts, { histograms: false }),
@@ -155,6 +157,9 @@
     });
     let unready = false;
 
+    await listen(inner.server, settings.inner);
+    await listen(callerServer, settings.listen);
+    telemetry.stateChange("listening", { port: settings.listen.port });
     const tasks = [
         roster.run(stopping.signal),
         membership.run(stopping.signal),
@@ -167,8 +172,6 @@
     if (settings.baseline !== "own-evidence" && settings.baseline !== "no-ejection") {
         tasks.push(evidence.run(stopping.signal));
     }
-    listen(inner.server, settings.inner);
-    listen(callerServer, settings.listen, () => telemetry.stateChange("listening", { port: settings.listen.port }));
 
     return {
         async stop() {
@@ -203,6 +206,16 @@
         : { floor: Math.max(...settings.services.map(({ floorFraction }) => floorFraction)) };
 }
 
-function listen(server: Server, at: { address: string; port: number; }, listening?: () => void): void {
-    server.listen(at.port, at.address, listening);
+function listen(server: Server, at: { address: string; port: number; }): Promise<void> {
+    return new Promise((resolve, reject) => {
+        const fail = (cause: Error) => {
+            const info = { address: at.address, port: at.port };
+            reject(new Failure("listen_failed", `cannot listen on ${at.address}:${at.port}`, { cause, info }));
+        };
+        server.once("error", fail);
+        server.listen(at.port, at.address, () => {
+            server.off("error", fail);
+            resolve();
+        });
+    });
 }
--- a/packages/experiment/src/child-process.ts
+++ b/packages/experiment/src/child-process.ts
@@ -79,14 +79,32 @@
     return startListening(kind, "trefoilladder-stand-in", [kind, "--port", "0", ...args]);
 }
 
-/** Finds ports that are free now. All are held at once, so that no port is returned twice. */
+// Ports below the range from which the kernel takes the ports of outgoing connections; one of those could be taken
+// between the check and the start of the process that is to listen.
+const firstPort = 20_000;
+const portCount = 12_000;
+/** Spreads tools that run at the same time over the range. */
+let nextPort = process.pid * 97 % portCount;
+
+async function isFree(port: number): Promise<boolean> {
+    const server = createServer();
+    const listening = await new Promise<boolean>(resolve => {
+        server.once("error", () => resolve(false));
+        server.listen(port, "127.0.0.1", () => resolve(true));
+    });
+    server.close();
+    return listening;
+}
+
+/** Returns ports on loopback on which nothing listens. */
 export async function findFreePorts(count: number): Promise<number[]> {
-    const servers = Array.from({ length: count }, () => createServer().listen(0, "127.0.0.1"));
-    await Promise.all(servers.map(server => once(server, "listening")));
-    const ports = servers.map(server => (server.address() as AddressInfo).port);
-    await Promise.all(servers.map(server => {
-        server.close();
-        return once(server, "close");
-    }));
+    const ports: number[] = [];
+    while (ports.length < count) {
+        const port = firstPort + nextPort;
+        nextPort = (nextPort + 1) % portCount;
+        if (await isFree(port)) {
+            ports.push(port);
+        }
+    }
     return ports;
 }
--- a/packages/membership/src/candidate-ownership.ts
+++ b/packages/membership/src/candidate-ownership.ts
@@ -182,6 +182,21 @@
             .concat(membership.pendingFences());
     }
 
+    /** Returns the incarnation that probably owns a claimed shard: the first other candidate that is not void. */
+    function probableOwner(shard: number): string | undefined {
+        const self = membership.self();
+        return roster.candidates(shard).find(candidate => candidate !== self && !membership.isCleared(candidate));
+    }
+
+    /**
+     * Returns whether a member may be asked about a shard now. The probable owner is asked last and goes on serving until
+     * then, so that the time without an owner is one call and not the slowest of all.
+     */
+    function mayAsk(incarnation: string, shard: number, claim: Claim, required: readonly string[]): boolean {
+        return incarnation !== probableOwner(shard)
+            || required.every(other => other === incarnation || claim.answered.has(other));
+    }
+
     /** Opens and drops claims after the roster or the members have changed. */
     function updateClaims(): void {
         const self = membership.self();
@@ -203,8 +218,9 @@
     async function ask(incarnation: string, signal: AbortSignal): Promise<void> {
         const peer = membership.peer(incarnation);
         const asked = new Map<number, Claim>();
+        const required = requiredAnswers();
         for (const [shard, claim] of claims) {
-            if (!claim.answered.has(incarnation)) {
+            if (!claim.answered.has(incarnation) && mayAsk(incarnation, shard, claim, required)) {
                 asked.set(shard, claim);
             }
         }
@@ -334,9 +350,14 @@
             if (!ended && owned.has(shard)) {
                 return membership.self();
             }
-            const leaving = leavingMembers();
+            const claimant = lastClaimant.get(shard);
+            if (isLeaving() && claimant !== undefined && !membership.isCleared(claimant)) {
+                return claimant;
+            }
+            // A leaving owner serves until its successor has taken the shard, and then names the successor.
             return roster.candidates(shard).find(candidate =>
-                !leaving.has(candidate) && !membership.isFenced(candidate)
+                !membership.isCleared(candidate) && !membership.isFenced(candidate)
+                && !(candidate === membership.self() && isLeaving())
             );
         },
         handOverAll,
--- a/packages/quota/src/fleet-quota.ts
+++ b/packages/quota/src/fleet-quota.ts
@@ -45,6 +45,8 @@
     delegation?: UsableDelegation;
     /** Time until which the owner's last refusal stands. */
     refusedUntil: number;
+    /** Owner that another instance named, and the time until which it is asked first. */
+    redirect?: { owner: string; until: number; };
     /** Requests that wait for the next call to the owner. */
     waiters: Waiter[];
     asking: boolean;
@@ -62,6 +64,8 @@
 
 const renewIntervalMs = 250;
 const ownerRetryMs = 40;
+/** Time for which a named owner is asked first; the membership knows the change by then. */
+const redirectMs = 1_000;
 const forgetAfterMs = 60_000;
 /** Time that a request needs after its admission; a token that comes later is of no use. */
 const minServiceMs = 5;
@@ -115,13 +119,27 @@
         state.delegation = openDelegation(delegation, { ...context, now });
     }
 
+    function ownerOf(organisation: string, state: OrganisationState, now: number): string | undefined {
+        const { redirect } = state;
+        return redirect !== undefined && now < redirect.until && !parts.isFenced(redirect.owner)
+            ? redirect.owner
+            : parts.presumedOwner(shardOf(organisation));
+    }
+
+    /** Follows the name that a former owner gives; a name that leads nowhere is forgotten. */
+    function followRedirect(state: OrganisationState, named: string, asked: string): void {
+        state.redirect = named === "" || named === asked || state.redirect?.owner === asked
+            ? undefined
+            : { owner: named, until: clock.now() + redirectMs };
+    }
+
     async function acquire(
         organisation: string,
         state: OrganisationState,
         wanted: { tokens: number; maxDelayMs?: number; returned?: UsableDelegation; },
     ): Promise<TokenOutcome[]> {
-        const owner = parts.presumedOwner(shardOf(organisation));
         const sentAt = clock.now();
+        const owner = ownerOf(organisation, state, sentAt);
         if (owner === undefined) {
             return [];
         }
@@ -145,6 +163,9 @@
         if (response === undefined) {
             return [];
         }
+        if (response.verdict === AcquireVerdict.NOT_OWNER) {
+            followRedirect(state, response.owner, owner);
+        }
         keepDelegation(state, response, { owner, holder, sentAt });
         if (holder !== parts.self() || !isDecision(response)) {
             return [];
--- /dev/null
+++ b/scripts/print-test-totals.mjs
@@ -0,0 +1,5 @@
+// Prints the totals of a Jest result file on one plain line, for CI.
+import { readFileSync } from "node:fs";
+
+const { numPassedTests, numFailedTests } = JSON.parse(readFileSync(process.argv[2], "utf8"));
+console.log(`${numPassedTests} passed, ${numFailedTests} failed`);
