--- a/packages/experiment/src/child-process.ts
+++ b/packages/experiment/src/child-process.ts
@@ -3,7 +3,6 @@
 import type { ChildProcess } from "node:child_process";
 import { once } from "node:events";
 import { createServer } from "node:net";
-import type { AddressInfo } from "node:net";
 import { dirname, join } from "node:path";
 import { createInterface } from "node:readline";
 import { setTimeout as delay } from "node:timers/promises";
