Bind each grant to the owner that gave it and let rosterless instances ask through others

Found while reading: a grant with a delay could be used after its owner was fenced and its successor had started, since only delegations were checked against the fence.

Change: the owner names itself in the response, and a grant or delegation is dropped once that incarnation is fenced, also when it came through another instance. An instance without a roster sends its requests through any live instance.

--- a/packages/entry/src/owner-call.ts
+++ b/packages/entry/src/owner-call.ts
@@ -19,6 +19,8 @@
 
 /** Calls between instances about tokens. */
 export interface OwnerCall {
+    /** Returns the owner as far as known, otherwise an instance that passes requests on. */
+    ownerOrRelay(shard: number): string | undefined;
     /** Calls the owner, through another instance while the owner cannot be reached directly. */
     call: FleetQuotaParts["callOwner"];
     /** Answers another instance, or passes its request on to the owner when it asks for that. */
@@ -46,23 +48,29 @@
     }
 
     /** Returns an instance to pass a request on, of another failure domain than the owner's and this one's if there is one. */
-    function relayFor(owner: string): string | undefined {
+    function relayFor(owner: string | undefined): string | undefined {
         const members = membership.members();
-        const domainOf = (incarnation: string) => members.find(member => member.incarnation === incarnation)?.domain;
+        const domainOf = (incarnation: string | undefined) =>
+            members.find(member => member.incarnation === incarnation)?.domain;
         const live = members.filter(({ incarnation, fenced, state }) =>
             !fenced && state === MemberState.LIVE && incarnation !== owner && incarnation !== membership.self()
         );
-        const cutDomains = [domainOf(owner), domainOf(membership.self())];
+        const cutDomains = owner === undefined ? [] : [domainOf(owner), domainOf(membership.self())];
         const elsewhere = live.filter(({ domain }) => !cutDomains.includes(domain));
         const choices = elsewhere.length > 0 ? elsewhere : live;
         return choices[Math.floor(parts.random() * choices.length)]?.incarnation;
     }
 
     return {
+        // An instance that started while the log was unavailable has no roster and so knows no owner.
+        ownerOrRelay: shard => ownership.presumedOwner(shard) ?? relayFor(undefined),
         async call(owner, request, timeoutMs) {
             if (owner === membership.self()) {
                 return quotaOwner.acquire(request);
             }
+            if (ownership.presumedOwner(shardOf(request.organisation)) === undefined) {
+                return callPeer(owner, { ...request, forward: true }, timeoutMs);
+            }
             const relay = clock.now() < (unreachableUntil.get(owner) ?? -Infinity) ? relayFor(owner) : undefined;
             if (relay !== undefined) {
                 telemetry.count("quota.acquires_forwarded");
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -77,6 +77,7 @@
     let lastDelegationNumber = randomBytes(6).readUIntBE(0, 6);
     const quotaOwner = createQuotaOwner({
         clock,
+        self: () => membership.self(),
         owns: shard => ownership.owns(shard),
         presumedOwner: shard => ownership.presumedOwner(shard),
         isFenced: incarnation => membership.isFenced(incarnation),
@@ -91,7 +92,7 @@
         self: () => membership.self(),
         holdsLease: () => membership.holdsLease(),
         isFenced: incarnation => membership.isFenced(incarnation),
-        presumedOwner: shard => ownership.presumedOwner(shard),
+        presumedOwner: shard => ownerCall.ownerOrRelay(shard),
         callOwner: ownerCall.call,
         random: Math.random,
     }, quotaOptions);
--- a/packages/quota/src/fleet-quota.ts
+++ b/packages/quota/src/fleet-quota.ts
@@ -53,7 +53,7 @@
 }
 
 type TokenOutcome =
-    | { kind: "granted"; usableFrom: number; usableUntil: number; }
+    | { kind: "granted"; owner: string; usableFrom: number; usableUntil: number; }
     | { kind: "refused"; retryAfterMs: number; }
     | { kind: "unanswered"; };
 
@@ -166,13 +166,14 @@
         if (response.verdict === AcquireVerdict.NOT_OWNER) {
             followRedirect(state, response.owner, owner);
         }
-        keepDelegation(state, response, { owner, holder, sentAt });
+        keepDelegation(state, response, { owner: response.grantedBy, holder, sentAt });
         if (holder !== parts.self() || !isDecision(response)) {
             return [];
         }
         const now = clock.now();
         const granted: TokenOutcome[] = response.delaysMs.map(delayMs => ({
             kind: "granted",
+            owner: response.grantedBy,
             usableFrom: now + delayMs,
             usableUntil: sentAt + delayMs + response.useWithinMs,
         }));
@@ -222,6 +223,14 @@
         }
     }
 
+    /**
+     * Checks a grant in the turn of the admission: a pause may have outlived the grant or the lease, and what a fenced
+     * owner granted may have been issued again by its successor.
+     */
+    function isUsable(grant: Extract<TokenOutcome, { kind: "granted"; }>): boolean {
+        return clock.now() <= grant.usableUntil && parts.holdsLease() && !parts.isFenced(grant.owner);
+    }
+
     async function admit(request: QuotaRequest): Promise<Result<void, QuotaRefusal>> {
         const startedAt = clock.now();
         const state = stateOf(request.organisation, startedAt);
@@ -249,8 +258,7 @@
                 }
                 if (outcome.kind === "granted") {
                     await sleepUntil(outcome.usableFrom, request.signal);
-                    // Checked after the wait, in the turn of the admission: a pause may have outlived grant and lease.
-                    if (clock.now() <= outcome.usableUntil && parts.holdsLease() && !request.signal.aborted) {
+                    if (isUsable(outcome) && !request.signal.aborted) {
                         return ok(undefined);
                     }
                     telemetry.count("quota.grants_expired");
--- a/packages/quota/src/quota-owner.ts
+++ b/packages/quota/src/quota-owner.ts
@@ -18,6 +18,8 @@
 /** Collaborators of the owner side of the quota. */
 export interface QuotaOwnerParts {
     clock: Clock;
+    /** Incarnation of this instance. */
+    self(): string;
     /** Tells whether this instance owns a shard now. */
     owns(shard: number): boolean;
     /** Returns the incarnation to ask instead, when this one is not the owner. */
@@ -265,6 +267,7 @@
             delaysMs,
             retryAfterMs: Math.ceil(Math.min(retryAfterMs, maxRetryAfterMs)),
             delegation,
+            grantedBy: parts.self(),
             useWithinMs: Math.floor(maxGrantShiftMs(limit, options)),
         });
     }
--- a/test/entry/owner-call.test.ts
+++ b/test/entry/owner-call.test.ts
@@ -23,7 +23,7 @@
 }
 
 /** Calls of an instance `self` in domain a; the owner is in domain b and a third instance in domain c. */
-function createCalls(options: { answers: Record<string, AcquireResponse | undefined>; owner?: string; }) {
+function createCalls(options: { answers: Record<string, AcquireResponse | undefined>; knowsOwner?: boolean; }) {
     const calls: { to: string; request: AcquireRequest; }[] = [];
     const ownerCall = createOwnerCall({
         clock: createVirtualClock(),
@@ -40,7 +40,7 @@
                     },
                 }) as unknown as MembershipPeer,
         },
-        ownership: { owns: () => false, presumedOwner: () => options.owner ?? "owner" },
+        ownership: { owns: () => false, presumedOwner: () => options.knowsOwner === false ? undefined : "owner" },
         quotaOwner: { acquire: () => notOwner },
     });
     return { calls, ownerCall };
@@ -56,6 +56,13 @@
         expect(calls.map(({ to, request: { forward } }) => [to, forward])).toEqual([["owner", false], ["third", true]]);
     });
 
+    it("go to any live instance when this one has no roster, as after a start without the log", async () => {
+        const { calls, ownerCall } = createCalls({ answers: { near: granted }, knowsOwner: false });
+        const relay = ownerCall.ownerOrRelay(0)!;
+        expect(await ownerCall.call(relay, request, 100)).toBe(granted);
+        expect(calls.map(({ to, request: { forward } }) => [to, forward])).toEqual([["near", true]]);
+    });
+
     it("are passed on once, so that wrong views of the owner cannot make a loop", async () => {
         const { calls, ownerCall } = createCalls({ answers: { owner: granted } });
         expect(await ownerCall.answer({ ...request, forward: true })).toBe(granted);
--- a/test/quota/quota-fleet.ts
+++ b/test/quota/quota-fleet.ts
@@ -61,6 +61,7 @@
         const entry = { id: `owner-${owners.length}`, owns: false, fenced: false } as typeof owners[number];
         entry.owner = createQuotaOwner({
             clock,
+            self: () => entry.id,
             owns: () => entry.owns,
             presumedOwner: () => current().id,
             isFenced: () => false,
--- a/test/quota/quota-owner.test.ts
+++ b/test/quota/quota-owner.test.ts
@@ -12,6 +12,7 @@
     let number = 0n;
     const owner = createQuotaOwner({
         clock,
+        self: () => "owner",
         owns: () => true,
         presumedOwner: () => undefined,
         isFenced: incarnation => incarnation === options.fenced,
