Name log events in one form and close test servers after a failed test

Cause: routing wrote events with spaces, other packages with underscores; a failing pool test left its server open, which blocked one test run for 10 minutes.

--- a/packages/routing/src/ejection-coordinator.ts
+++ b/packages/routing/src/ejection-coordinator.ts
@@ -183,7 +183,7 @@
         const { target, evidence, domains } = candidate;
         const count = rememberedCount(histories.get(target), now, policy) + 1;
         const ejection = { target, domains, evidence, count, until: now + ejectionTime(count, policy, random) };
-        telemetry?.stateChange("fleet ejects target", {
+        telemetry?.stateChange("fleet_ejected_target", {
             service,
             target,
             evidence,
@@ -196,7 +196,7 @@
     function endEjection(ejection: Ejection, now: number, reason: string): void {
         histories.set(ejection.target, { count: ejection.count, returnedAt: now });
         since.set(ejection.target, now + reportIntervalMs);
-        telemetry?.stateChange("fleet takes target back", { service, target: ejection.target, reason });
+        telemetry?.stateChange("fleet_returned_target", { service, target: ejection.target, reason });
     }
 
     function decide(now: number, adopting: boolean): void {
@@ -232,7 +232,7 @@
     function reportFloor(keptInUse: number): void {
         if (floorReached !== keptInUse > 0) {
             floorReached = keptInUse > 0;
-            telemetry?.stateChange(floorReached ? "fleet ejection floor reached" : "fleet ejection floor left", {
+            telemetry?.stateChange(floorReached ? "fleet_ejection_floor_reached" : "fleet_ejection_floor_left", {
                 service,
                 keptInUse,
             });
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -205,7 +205,7 @@
     function leave(state: TargetState, source: string): void {
         const now = clock.now();
         if (!isLeaving(state, now)) {
-            telemetry?.stateChange("target leaving", { target: state.target.id, source });
+            telemetry?.stateChange("target_leaving", { target: state.target.id, source });
         }
         markDraining(state, now, policy);
     }
@@ -294,7 +294,7 @@
         state.ejected = ejected;
         if (ejected) {
             telemetry?.count("routing.ejections", { service: service.name, evidence: ejection.evidence });
-            telemetry?.stateChange("target ejected", {
+            telemetry?.stateChange("target_ejected", {
                 ...fields,
                 evidence: ejection.evidence,
                 count: ejection.count,
@@ -305,7 +305,7 @@
         // Old evidence would eject the target again before its first new request.
         state.window.clear();
         state.slowStartAt = now;
-        telemetry?.stateChange("target returned", fields);
+        telemetry?.stateChange("target_returned", fields);
     }
 
     function reportFloor(service: ServiceState, refused: number, now: number): void {
@@ -315,7 +315,7 @@
         const reached = now < service.floorReachedUntil;
         if (reached !== service.floorReached) {
             service.floorReached = reached;
-            telemetry?.stateChange(reached ? "ejection floor reached" : "ejection floor no longer reached", {
+            telemetry?.stateChange(reached ? "ejection_floor_reached" : "ejection_floor_left", {
                 service: service.name,
                 keptInUse: refused,
             });
@@ -328,7 +328,7 @@
         const targets = floorTargets(service, now);
         const fleetInForce = service.fleet !== undefined && now - service.fleet.receivedAt < policy.fleetDecisionMs;
         if (!fleetInForce && service.fleet !== undefined) {
-            telemetry?.stateChange("ejection coordinator silent, using own evidence", { service: service.name });
+            telemetry?.stateChange("ejection_coordinator_silent", { service: service.name });
             service.own = new Map(
                 service.fleet.ejections
                     .filter(ejection => bindsDomain(ejection, self.domain))
--- a/test/routing/target-pool.test.ts
+++ b/test/routing/target-pool.test.ts
@@ -19,6 +19,8 @@
 
 const response = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
 
+const openTrials: Trial[] = [];
+
 /** Starts a target that answers each request by `answer`, given the number of its connection. */
 async function startTrial(answer: (socket: Socket, connection: number) => void): Promise<Trial> {
     const sockets: Socket[] = [];
@@ -45,7 +47,7 @@
         domain: "a",
         state: "live",
     }]);
-    return {
+    const trial: Trial = {
         server,
         router,
         sockets,
@@ -67,8 +69,15 @@
             await once(server, "close");
         },
     };
+    openTrials.push(trial);
+    return trial;
 }
 
+// A failed test must not leave its server open, which would keep the test runner from exiting.
+afterEach(async () => {
+    await Promise.all(openTrials.splice(0).map(trial => trial.close()));
+});
+
 async function request(trial: Trial, signal?: AbortSignal): Promise<string> {
     const attempt = await trial.attempt();
     try {
@@ -91,7 +100,6 @@
     expect(await request(trial)).toBe("ok");
     expect(await request(trial)).toBe("ok");
     expect(trial.sockets).toHaveLength(1);
-    await trial.close();
 });
 
 it("guards against reusing a connection whose request was cancelled or timed out, which may answer late", async () => {
@@ -106,7 +114,6 @@
     await delay(200);
     expect(await request(trial)).toBe("ok");
     expect(trial.carriers.filter(connection => connection === 0)).toHaveLength(1);
-    await trial.close();
 });
 
 it("guards against taking bytes after a response for the response to the next request", async () => {
@@ -116,7 +123,6 @@
     expect(await request(trial)).toBe("ok");
     expect(await request(trial)).toBe("ok");
     expect(trial.carriers.filter(connection => connection === 0)).toHaveLength(1);
-    await trial.close();
 });
 
 it("guards against bytes on an idle connection being taken for the next response", async () => {
@@ -126,7 +132,6 @@
     await delay(50);
     expect(await request(trial)).toBe("ok");
     expect(trial.carriers.filter(connection => connection === 0)).toHaveLength(1);
-    await trial.close();
 });
 
 it("guards against more connections to a target than its in-flight limit", async () => {
@@ -134,7 +139,6 @@
     const bodies = await Promise.all(Array.from({ length: 40 }, () => request(trial)));
     expect(bodies.every(body => body === "ok")).toBe(true);
     expect(trial.sockets.length).toBeLessThanOrEqual(8);
-    await trial.close();
 });
 
 it("guards against a request in progress being broken when its target leaves the list", async () => {
@@ -143,5 +147,4 @@
     await delay(30);
     trial.router.update([]);
     expect(await running).toBe("ok");
-    await trial.close();
 });
