--- a/test/whole-path.test.ts
+++ b/test/whole-path.test.ts
@@ -15,6 +15,8 @@
     url: string;
     key: string;
     entry: ChildProcess;
+    /** URL of the only target. */
+    targetUrl: string;
     close(): Promise<void>;
 }
 
@@ -76,6 +78,7 @@
         url,
         key: created.text,
         entry,
+        targetUrl: target.url,
         async close() {
             if (entry.exitCode === null) {
                 entry.kill("SIGTERM");
@@ -98,6 +101,17 @@
     }
 }
 
+/** Waits until the target runs a request for a path; the test's own time limit ends it. */
+async function waitForExecution(fleet: Fleet, path: string): Promise<void> {
+    for (;;) {
+        const response = await fetch(`${fleet.targetUrl}/control/executions`);
+        if ((await response.text()).includes(path)) {
+            return;
+        }
+        await delay(20);
+    }
+}
+
 describe("whole path over separate processes", () => {
     let fleet: Fleet;
     beforeAll(async () => {
@@ -119,9 +133,19 @@
         expect(await response.json()).toMatchObject({ code: "key_missing" });
     });
 
-    it("exits with code 0 on SIGTERM", async () => {
+    it("finishes a running request after SIGTERM and then exits with code 0", async () => {
+        await fetch(`${fleet.targetUrl}/control/behaviour`, {
+            method: "PUT",
+            headers: { "content-type": "application/json" },
+            body: JSON.stringify({ lateMs: 1_500 }),
+        });
         const exited = once(fleet.entry, "exit");
+        const running = fetch(`${fleet.url}/nominees/18`, { headers: { authorization: `Bearer ${fleet.key}` } });
+        await waitForExecution(fleet, "/nominees/18");
         fleet.entry.kill("SIGTERM");
+        const response = await running;
+        expect(response.status).toBe(200);
+        expect(await response.json()).toMatchObject({ path: "/nominees/18" });
         expect(await exited).toEqual([0, null]);
     });
 });
