Share the connection headers, hash shards once and remove dead code

Cause: a read-through of the whole change. The list of connection headers stood in two modules of the proxy, the set-up of raw targets in two test files; each request for a token hashed its organisation again; heldDelegations had no caller; the wiring wrote the admission check twice. Change: one list, one fixture, the shard kept with the organisation's state, a request that is not to be passed on goes straight to the owner. No behaviour and no assertion changes.

--- a/packages/entry/src/owner-call.ts
+++ b/packages/entry/src/owner-call.ts
@@ -86,9 +86,12 @@
             return response;
         },
         async answer(request) {
+            if (!request.forward) {
+                return quotaOwner.acquire(request);
+            }
             const shard = shardOf(request.organisation);
             const owner = ownership.presumedOwner(shard);
-            const passesOn = request.forward && !ownership.owns(shard) && owner !== undefined
+            const passesOn = !ownership.owns(shard) && owner !== undefined
                 && owner !== membership.self();
             const forwarded = passesOn
                 ? await callPeer(owner, { ...request, forward: false }, forwardTimeoutMs)
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -5,6 +5,7 @@
 import { createMembership, createRoster, createShardOwnership, instanceIdOf, shardOf } from "@trefoilladder/membership";
 import { createInstanceListClient, createLogClient } from "@trefoilladder/platform";
 import { createCallerServer, createProxy } from "@trefoilladder/proxy";
+import type { Admission } from "@trefoilladder/proxy";
 import { createFleetQuota, createLocalQuota, createQuotaOwner, resolveQuotaOptions } from "@trefoilladder/quota";
 import type { Quota } from "@trefoilladder/quota";
 import { createRouter } from "@trefoilladder/routing";
@@ -116,14 +117,17 @@
         domain: settings.domain,
         policy,
     });
-    const isAdmitting = () => membership.holdsLease() && follower.isFresh(clock.now());
+    const admission: Admission = {
+        holdsLease: () => membership.holdsLease(),
+        isFresh: () => follower.isFresh(clock.now()),
+    };
     const proxy = createProxy({
         configuration: follower.configuration,
         quota,
         router,
         clock,
         telemetry,
-        admission: { holdsLease: () => membership.holdsLease(), isFresh: () => follower.isFresh(clock.now()) },
+        admission,
         idempotency: {
             // Keys outlive a fence: the register stays in this process, whatever incarnation it has by then.
             register: createIdempotencyRegister({ incarnation: membership.self(), clock }),
@@ -153,7 +157,7 @@
             follower,
             renderStatus: () => renderStatus(statusParts, { histograms: false }),
         }),
-        isReady: () => !stopping.signal.aborted && !unready && isAdmitting(),
+        isReady: () => !stopping.signal.aborted && !unready && admission.holdsLease() && admission.isFresh(),
         renderStatus: options => renderStatus(statusParts, options),
     });
     let unready = false;
--- a/packages/proxy/src/caller-interface.ts
+++ b/packages/proxy/src/caller-interface.ts
@@ -36,3 +36,16 @@
 
 /** What is known about the execution of a request. */
 export type RequestOutcome = typeof requestOutcome[keyof typeof requestOutcome];
+
+/** Headers that concern one connection and are not passed on, in either direction. */
+export const connectionHeaders = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+] as const;
--- a/packages/proxy/src/caller-request.ts
+++ b/packages/proxy/src/caller-request.ts
@@ -1,7 +1,7 @@
 import { err, ok, safeTry } from "neverthrow";
 import type { Result } from "neverthrow";
 import type { IncomingMessage } from "node:http";
-import { callerHeader } from "./caller-interface";
+import { callerHeader, connectionHeaders, targetHeader } from "./caller-interface";
 import { notRun } from "./problem";
 import type { Problem } from "./problem";
 import type { ResolvedProxyOptions } from "./proxy-options";
@@ -44,21 +44,13 @@
     callerHeader.requestId,
     callerHeader.outcome,
     callerHeader.nextIdempotencyKey,
-    "connection",
+    targetHeader.notRun,
+    targetHeader.state,
+    ...connectionHeaders,
     "content-length",
     "expect",
     "host",
     "http2-settings",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "x-not-run",
-    "x-target-state",
 ]);
 
 const requestIdPattern = /^[\x21-\x7e]{1,128}$/;
--- a/packages/proxy/src/target-headers.ts
+++ b/packages/proxy/src/target-headers.ts
@@ -1,5 +1,5 @@
 import type { IncomingHttpHeaders } from "node:http";
-import { callerHeader, targetHeader } from "./caller-interface";
+import { callerHeader, connectionHeaders, targetHeader } from "./caller-interface";
 import type { CallerRequest } from "./caller-request";
 
 /** Response headers of one connection and control headers that only the proxy may set. */
@@ -9,15 +9,7 @@
     callerHeader.nextIdempotencyKey,
     targetHeader.notRun,
     targetHeader.state,
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
+    ...connectionHeaders,
 ]);
 
 /** Returns the headers of the request to a target, names and values in turn. */
--- a/packages/quota/src/fleet-quota.ts
+++ b/packages/quota/src/fleet-quota.ts
@@ -36,11 +36,11 @@
     run(signal: AbortSignal): Promise<void>;
     /** Returns every delegation to its owner, on a graceful stop. */
     returnAll(): Promise<void>;
-    /** Number of delegations held now. */
-    heldDelegations(): number;
 }
 
 interface OrganisationState {
+    /** Shard of the organisation, hashed once. */
+    shard: number;
     demand: DemandMeter;
     delegation?: UsableDelegation;
     /** Time until which the owner's last refusal stands. */
@@ -82,7 +82,13 @@
     function stateOf(organisation: string, now: number): OrganisationState {
         let state = organisations.get(organisation);
         if (state === undefined) {
-            state = { demand: createDemandMeter(now), refusedUntil: -Infinity, waiters: [], asking: false };
+            state = {
+                shard: shardOf(organisation),
+                demand: createDemandMeter(now),
+                refusedUntil: -Infinity,
+                waiters: [],
+                asking: false,
+            };
             organisations.set(organisation, state);
         }
         return state;
@@ -119,11 +125,11 @@
         state.delegation = openDelegation(delegation, { ...context, now });
     }
 
-    function ownerOf(organisation: string, state: OrganisationState, now: number): string | undefined {
+    function ownerOf(state: OrganisationState, now: number): string | undefined {
         const { redirect } = state;
         return redirect !== undefined && now < redirect.until && !parts.isFenced(redirect.owner)
             ? redirect.owner
-            : parts.presumedOwner(shardOf(organisation));
+            : parts.presumedOwner(state.shard);
     }
 
     /** Follows the name that a former owner gives; a name that leads nowhere is forgotten. */
@@ -139,7 +145,7 @@
         wanted: { tokens: number; maxDelayMs?: number; returned?: UsableDelegation; },
     ): Promise<TokenOutcome[]> {
         const sentAt = clock.now();
-        const owner = ownerOf(organisation, state, sentAt);
+        const owner = ownerOf(state, sentAt);
         if (owner === undefined) {
             return [];
         }
@@ -315,6 +321,5 @@
                 }
             }));
         },
-        heldDelegations: () => [...organisations.values()].filter(({ delegation }) => delegation !== undefined).length,
     };
 }
--- a/test/idempotency/keyed-requests.test.ts
+++ b/test/idempotency/keyed-requests.test.ts
@@ -4,26 +4,15 @@
 import { once } from "node:events";
 import type { Server } from "node:http";
 import type { AddressInfo } from "node:net";
-import { rawResponse, startProxy, startRawTarget, until } from "../proxy/fixtures";
-import type { ProxyFixture } from "../proxy/fixtures";
-
-type RawTarget = Awaited<ReturnType<typeof startRawTarget>>;
+import { rawResponse, startProxy, until, useRawTargets } from "../proxy/fixtures";
+import type { ProxyFixture, RawTarget } from "../proxy/fixtures";
 
 interface Instance extends ProxyFixture {
     innerOrigin: string;
 }
 
 describe("requests with an idempotency key", () => {
-    const open: { close(): unknown; }[] = [];
-    afterEach(async () => {
-        await Promise.all(open.splice(0).map(item => item.close()));
-    });
-
-    async function target(...handler: Parameters<typeof startRawTarget>): Promise<RawTarget> {
-        const started = await startRawTarget(...handler);
-        open.push(started);
-        return started;
-    }
+    const { open, target } = useRawTargets();
 
     /** Starts an instance; instances of one fleet share the issuers and the configuration. */
     async function instance(incarnation: string, back: RawTarget, fleet = new Map<string, string>(), first?: Instance) {
--- a/test/proxy/fixtures.ts
+++ b/test/proxy/fixtures.ts
@@ -213,3 +213,22 @@
     await once(server, "close");
     return `http://127.0.0.1:${port}`;
 }
+
+/** Raw target as a test sees it. */
+export type RawTarget = Awaited<ReturnType<typeof startRawTarget>>;
+
+/** Closes what a test opened after each test, also after a failed one. */
+export function useRawTargets() {
+    const open: { close(): unknown; }[] = [];
+    afterEach(async () => {
+        await Promise.all(open.splice(0).map(item => item.close()));
+    });
+    return {
+        open,
+        async target(...handler: Parameters<typeof startRawTarget>): Promise<RawTarget> {
+            const started = await startRawTarget(...handler);
+            open.push(started);
+            return started;
+        },
+    };
+}
--- a/test/proxy/forwarding.test.ts
+++ b/test/proxy/forwarding.test.ts
@@ -1,20 +1,9 @@
 import { ok } from "neverthrow";
-import { closedOrigin, rawResponse, sendRaw, startProxy, startRawTarget, until } from "./fixtures";
+import { closedOrigin, rawResponse, sendRaw, startProxy, until, useRawTargets } from "./fixtures";
 import type { ProxyFixture } from "./fixtures";
 
-type RawTarget = Awaited<ReturnType<typeof startRawTarget>>;
-
 describe("forwarding", () => {
-    const open: { close(): unknown; }[] = [];
-    afterEach(async () => {
-        await Promise.all(open.splice(0).map(item => item.close()));
-    });
-
-    async function target(...handler: Parameters<typeof startRawTarget>): Promise<RawTarget> {
-        const started = await startRawTarget(...handler);
-        open.push(started);
-        return started;
-    }
+    const { open, target } = useRawTargets();
     async function proxy(...values: Parameters<typeof startProxy>): Promise<ProxyFixture> {
         const started = await startProxy(...values);
         open.push(started);
