Send digests through one instance of each other domain; read the store through one instance a domain

Cause: on grown sites the largest prices are calls to the store, bytes between failure domains and processor time of digests.

Change: one reader a domain; an instance that polls tells so at once, and polls are drawn late, so that few poll when a confirmation is missing; configurations are pushed, compressed; only readers register, digests carry two addresses, and greetings are bounded. Digests are JSON and cross to each other domain once, to an instance drawn anew each time that passes them on.

Ruled out: batches of digests at a fixed instance of each domain. By its size such an instance would send about 11 Mbit/s on links of 7 to 10 Mbit/s.

The property test of the readers holds with its bound unchanged.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -127,6 +127,7 @@
         domain: settings.domain,
         clock,
         log,
+        random,
         collectNews: () => ({
             configurationVersion: configuration.version(),
             ...streams.progress(),
@@ -201,6 +202,7 @@
             random,
             instance: settings.instance,
             address: settings.address,
+            isDue: streams.isReader,
             learn: mesh.learn,
         }, stopping.signal),
     ];
--- a/packages/gateway/src/registration.ts
+++ b/packages/gateway/src/registration.ts
@@ -1,5 +1,9 @@
 /**
  * Entry of this instance in the store, and the other instances from there.
+ *
+ * Instances find each other through their seeds. The store serves those that no seed answers: the readers of each failure
+ * domain register, so that groups of instances which know nothing of each other find their readers there. A call of every
+ * instance would be the greater part of what a start of the whole fleet costs.
  */
 
 import type { Clock } from "@trefoilladder/clock";
@@ -7,22 +11,39 @@
 import type { RecordStore } from "@trefoilladder/replication";
 import type { DecisionLog } from "@trefoilladder/telemetry";
 
+/** Time in milliseconds in which a starting instance hears of the others through its seeds. */
+const seedsTimeMs = 1_000;
+/** Interval in milliseconds in which an instance looks whether it has become one that registers. */
+const dueIntervalMs = 1_000;
 const firstBackoffMs = 200;
 const maxBackoffMs = 3_000;
 
-/**
- * Registers this instance, then reads the others once. Of two instances the one that registers later finds the earlier
- * one and greets it, so neither has to watch the stream.
- */
-export async function registerInstance(parts: {
+/** What the registration needs. */
+export interface RegistrationParts {
     store: RecordStore;
     clock: Clock;
     log: DecisionLog;
     random(): number;
     instance: string;
     address: string;
+    /** Returns whether this instance has to register. */
+    isDue(): boolean;
     learn(address: string): void;
-}, signal: AbortSignal): Promise<void> {
+}
+
+/**
+ * Registers this instance when that is due, then reads the others once. Of two instances the one that registers later finds
+ * the earlier one and greets it, so neither has to watch the stream.
+ */
+export async function registerInstance(parts: RegistrationParts, signal: AbortSignal): Promise<void> {
+    await parts.clock.sleep(seedsTimeMs, signal);
+    while (!signal.aborted && !parts.isDue()) {
+        await parts.clock.sleep(dueIntervalMs, signal);
+    }
+    await register(parts, signal);
+}
+
+async function register(parts: RegistrationParts, signal: AbortSignal): Promise<void> {
     const { store, clock, log } = parts;
     let registered = false;
     for (let failures = 0; !signal.aborted; failures++) {
--- a/packages/gateway/src/store-streams.ts
+++ b/packages/gateway/src/store-streams.ts
@@ -6,7 +6,7 @@
 import type { Digest, Mesh, Peer, PushedRecords } from "@trefoilladder/mesh";
 import { splitAddress } from "@trefoilladder/mesh";
 import { createStreamFollower, isStoreReader, stream } from "@trefoilladder/replication";
-import type { KeyedRecord, Stream, StreamFollower, TargetDirectory } from "@trefoilladder/replication";
+import type { KeyedRecord, RecordBatch, Stream, StreamFollower, TargetDirectory } from "@trefoilladder/replication";
 import type { DecisionLog } from "@trefoilladder/telemetry";
 import type { ConfigurationState } from "./configuration-state";
 import type { PlatformPort } from "./gateway";
@@ -29,6 +29,8 @@
     progress(): Pick<Digest, "targetsOffset" | "targetsAgeMs" | "configurationOffset" | "configurationAgeMs">;
     /** Monotonic time of the store's last answer in milliseconds, 0 before the first one. */
     answeredAt(): number;
+    /** Returns whether this instance reads the streams for its failure domain. */
+    isReader(): boolean;
 }
 
 /** What the streams need. */
@@ -40,7 +42,7 @@
     random(): number;
     configuration: ConfigurationState;
     directory: TargetDirectory;
-    mesh(): Pick<Mesh, "peers" | "pushRecords">;
+    mesh(): Pick<Mesh, "peers" | "pushRecords" | "hurry">;
 }
 
 /**
@@ -69,14 +71,25 @@
         log,
         random: parts.random,
         peers: () => parts.mesh().peers().length,
-        isReader: () =>
-            isStoreReader(selfAddress, parts.mesh().peers().filter(({ domain }) => domain === settings.domain)),
+        isReader,
+        polled: () => parts.mesh().hurry(),
     };
+
+    function isReader(): boolean {
+        return isStoreReader(selfAddress, parts.mesh().peers().filter(({ domain }) => domain === settings.domain));
+    }
+
+    function push(name: Stream, from: number, { records, nextOffset }: RecordBatch): void {
+        const rows = records.map(({ key, value }): [string, Buffer | null] => [key, value ?? null]);
+        parts.mesh().pushRecords({ stream: name, from, nextOffset, records: rows });
+    }
+
     const configurationFollower = createStreamFollower({
         ...followerParts,
         stream: stream.configuration,
         pauseMs: configurationPauseMs,
-        apply: records => applyConfiguration(records, "store"),
+        apply: (records, _, source) => applyConfiguration(records, source),
+        readRecords: (from, batch) => push(stream.configuration, from, batch),
     });
     const targetsFollower = createStreamFollower({
         ...followerParts,
@@ -84,10 +97,7 @@
         pauseMs: targetsPauseMs,
         apply: targetRecords.apply,
         regained: () => directory.beginGrace(),
-        readRecords(from, { records, nextOffset }) {
-            const rows = records.map(({ key, value }): [string, Buffer | null] => [key, value ?? null]);
-            parts.mesh().pushRecords({ from, nextOffset, records: rows });
-        },
+        readRecords: (from, batch) => push(stream.targets, from, batch),
     });
 
     function noteOutage(): void {
@@ -156,12 +166,16 @@
                 catchUp(stream.targets, targetsFollower, peer);
             }
         },
-        applyPushed({ from, nextOffset, records }) {
-            beginGraceAfterOutage();
+        applyPushed({ stream: name, from, nextOffset, records }) {
             const read = records.map(([key, value]) => ({
                 key,
                 value: value === null ? undefined : Buffer.from(value),
             }));
+            if (name === stream.configuration) {
+                configurationFollower.applyFrom(from, { records: read, nextOffset });
+                return;
+            }
+            beginGraceAfterOutage();
             targetsFollower.applyFrom(from, { records: read, nextOffset });
         },
         progress: () => ({
@@ -171,5 +185,6 @@
             configurationAgeMs: ageOf(configurationFollower),
         }),
         answeredAt: () => Math.max(configurationFollower.answeredAt, 0),
+        isReader,
     };
 }
--- a/packages/mesh/src/digest.ts
+++ b/packages/mesh/src/digest.ts
@@ -1,4 +1,3 @@
-import { decode, encode } from "@msgpack/msgpack";
 import { Failure } from "@trefoilladder/failures";
 import { err, ok } from "neverthrow";
 import type { Result } from "neverthrow";
@@ -42,15 +41,6 @@
     configurationAgeMs: number;
 }
 
-/** Records of targets that an instance has read from the store. */
-export interface PushedRecords {
-    /** Offsets at which the records begin and end. */
-    from: number;
-    nextOffset: number;
-    /** Keys with their values; without a value the key was dropped. */
-    records: [key: string, value: Uint8Array | null][];
-}
-
 /** A datagram that is no digest. */
 export class MalformedDigest extends Failure<"malformed_digest"> {
     constructor(cause?: Error) {
@@ -58,17 +48,23 @@
     }
 }
 
-/** First element of each datagram; grows with each change of the format. */
-const formatVersion = 1;
-/** First element of each datagram of records. */
-const recordsFormat = 101;
-/** Longest datagram of records in bytes; a longer one would be sent in fragments, which are lost more often. */
-const maxDatagramBytes = 8_000;
-
+/**
+ * First elements of digests. Digests are JSON, which the runtime reads at a tenth of the processor time of a decoder written in
+ * JavaScript; one that is to be passed on differs from a final one in this digit only.
+ */
+const finalFormat = 2;
+const relayedFormat = 3;
+/** Position of the digit in the datagram. */
+const formatPosition = 1;
+const digitZero = "0".charCodeAt(0);
+/** Parts into which totals are rounded; they are fractions where requests earn a part of a further attempt. */
+const totalParts = 1_000;
 /** Encodes a digest as an array, since field names would be half of each datagram. */
-export function encodeDigest(digest: Digest): Uint8Array {
-    return encode([
-        formatVersion,
+export function encodeDigest(digest: Digest): Buffer {
+    const furtherAttempts = digest.furtherAttempts
+        .map(([service, total]) => [service, Math.round(total * totalParts) / totalParts]);
+    return Buffer.from(JSON.stringify([
+        finalFormat,
         digest.sender,
         digest.leaving,
         digest.greeting,
@@ -77,38 +73,33 @@
         digest.targets.map(({ target, outcomes, load }) => [target, outcomes, load ?? null]),
         digest.admitted,
         digest.instances,
-        digest.furtherAttempts,
+        furtherAttempts,
         digest.domain,
         digest.targetsAgeMs,
         digest.configurationOffset,
         digest.configurationAgeMs,
-    ]);
+    ]));
 }
 
-/** Encodes records; undefined when they are too many for a datagram. */
-export function encodePushedRecords({ from, nextOffset, records }: PushedRecords): Uint8Array | undefined {
-    const bytes = encode([recordsFormat, from, nextOffset, records]);
-    return bytes.length > maxDatagramBytes ? undefined : bytes;
+/** Returns a digest that asks its receiver to pass it on to the instances of its failure domain. */
+export function toRelayed(digest: Buffer): Buffer {
+    return withFormat(digest, relayedFormat);
 }
 
-/** Decodes a datagram of records; undefined when it is none. */
-export function decodePushedRecords(bytes: Uint8Array): PushedRecords | undefined {
-    const fields = decodeFields(bytes).unwrapOr([]);
-    const [format, from, nextOffset, records] = fields;
-    const isValid = format === recordsFormat && Number.isInteger(from) && Number.isInteger(nextOffset)
-        && Array.isArray(records) && records.every(isRecord);
-    return isValid
-        ? { from: from as number, nextOffset: nextOffset as number, records: records as PushedRecords["records"] }
-        : undefined;
+/** Returns the digest to pass on; undefined when the datagram does not ask for it. */
+export function toPassOn(datagram: Buffer): Buffer | undefined {
+    return datagram[formatPosition] === digitZero + relayedFormat ? withFormat(datagram, finalFormat) : undefined;
 }
 
-function isRecord(row: unknown): boolean {
-    return Array.isArray(row) && typeof row[0] === "string" && (row[1] === null || row[1] instanceof Uint8Array);
+function withFormat(digest: Buffer, format: number): Buffer {
+    const changed = Buffer.from(digest);
+    changed[formatPosition] = digitZero + format;
+    return changed;
 }
 
-function decodeFields(bytes: Uint8Array): Result<unknown[], MalformedDigest> {
+function parseFields(bytes: Buffer): Result<unknown[], MalformedDigest> {
     try {
-        const fields: unknown = decode(bytes);
+        const fields: unknown = JSON.parse(bytes.toString("utf8"));
         return Array.isArray(fields) ? ok(fields as unknown[]) : err(new MalformedDigest());
     }
     catch (error) {
@@ -140,9 +131,12 @@
 }
 
 /** Decodes a datagram. */
-export function decodeDigest(bytes: Uint8Array): Result<Digest, MalformedDigest> {
-    const fields = decodeFields(bytes).unwrapOr([]);
-    if (fields[0] !== formatVersion) {
+export function decodeDigest(bytes: Buffer): Result<Digest, MalformedDigest> {
+    return parseFields(bytes).andThen(readDigest);
+}
+
+function readDigest(fields: readonly unknown[]): Result<Digest, MalformedDigest> {
+    if (fields[0] !== finalFormat && fields[0] !== relayedFormat) {
         return err(new MalformedDigest());
     }
     const [, sender, leaving, greeting, configurationVersion, targetsOffset, rows, admitted, instances] = fields;
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -1,7 +1,11 @@
 export { splitAddress } from "./address";
-export { decodeDigest, decodePushedRecords, encodeDigest, encodePushedRecords } from "./digest";
-export type { Digest, PushedRecords, TargetDigest } from "./digest";
+export { decodeDigest, encodeDigest, toPassOn, toRelayed } from "./digest";
+export type { Digest, TargetDigest } from "./digest";
 export { createMesh } from "./mesh";
 export type { Mesh, News } from "./mesh";
 export { createPeers } from "./peers";
 export type { Peer } from "./peers";
+export { decodePushedRecords, encodePushedRecords } from "./pushed-records";
+export type { PushedRecords } from "./pushed-records";
+export { planRoutes } from "./routes";
+export type { Routes } from "./routes";
--- a/packages/mesh/src/mesh.ts
+++ b/packages/mesh/src/mesh.ts
@@ -9,10 +9,13 @@
 import { createSocket } from "node:dgram";
 import type { Socket } from "node:dgram";
 import { splitAddress } from "./address";
-import { decodeDigest, decodePushedRecords, encodeDigest, encodePushedRecords } from "./digest";
-import type { Digest, PushedRecords, TargetDigest } from "./digest";
+import { decodeDigest, encodeDigest, toPassOn, toRelayed } from "./digest";
+import type { Digest, TargetDigest } from "./digest";
 import { createPeers } from "./peers";
 import type { Peer } from "./peers";
+import { decodePushedRecords, encodePushedRecords } from "./pushed-records";
+import type { PushedRecords } from "./pushed-records";
+import { planRoutes } from "./routes";
 
 /** What an instance tells in its next digest. */
 export interface News {
@@ -38,6 +41,7 @@
     domain: string;
     clock: Clock;
     log: DecisionLog;
+    random(): number;
     /** Returns what changed since the previous call. */
     collectNews(): News;
     receive(digest: Digest, peer: Peer): void;
@@ -68,6 +72,8 @@
 const peersPerInterval = 64;
 /** Longest time between two digests; two may be lost before an instance counts as silent. */
 const heartbeatIntervalMs = 600;
+/** Addresses of other instances in each digest. */
+const toldAddresses = 2;
 /** Shortest time between a digest and an urgent one. */
 const urgentIntervalMs = 60;
 
@@ -93,7 +99,7 @@
         });
     }
 
-    function encodeNews(news: Partial<News>, flags: Partial<Digest>): Uint8Array {
+    function encodeNews(news: Partial<News>, flags: Partial<Digest>): Buffer {
         return encodeDigest({
             sender: `${self}/${options.incarnation}`,
             leaving: false,
@@ -123,17 +129,42 @@
         if (contacts.length === 0 || !isUrgent && now - sentAt < 0.9 * intervalMs(contacts.length)) {
             return;
         }
-        isUrgent = false;
         const news = options.collectNews();
         const isEmpty = news.targets.length + news.admitted.length + news.furtherAttempts.length === 0;
-        if (!isHeartbeat && isEmpty) {
+        if (!isHeartbeat && !isUrgent && isEmpty) {
             return;
         }
-        const bytes = encodeNews(news, {});
-        contacts.forEach(({ address }) => send(bytes, address));
+        isUrgent = false;
+        sendAlong(contacts, encodeNews(news, { instances: drawAddresses(contacts) }));
         sentAt = now;
     }
 
+    /** Draws a few instances to tell of, so that all instances come to know each other from any common one. */
+    function drawAddresses(contacts: readonly Peer[]): string[] {
+        return Array.from({ length: toldAddresses }, () => contacts[Math.floor(options.random() * contacts.length)]!)
+            .map(({ address }) => address);
+    }
+
+    function sendAlong(contacts: readonly Peer[], bytes: Buffer): void {
+        const { direct, relays } = planRoutes(contacts, options.domain, options.random);
+        direct.forEach(({ address }) => send(bytes, address));
+        if (relays.length > 0) {
+            const relayed = toRelayed(bytes);
+            relays.forEach(({ address }) => send(relayed, address));
+        }
+    }
+
+    function domainContacts(): Peer[] {
+        return peers.inContact(clock.now()).filter(({ domain }) => domain === options.domain);
+    }
+
+    function passOn(datagram: Buffer): void {
+        const digest = toPassOn(datagram);
+        if (digest !== undefined) {
+            domainContacts().forEach(({ address }) => send(digest, address));
+        }
+    }
+
     function greet(now: number): void {
         const due = peers.dueForGreeting(now);
         if (due.length > 0) {
@@ -175,6 +206,7 @@
             return;
         }
         const now = clock.now();
+        passOn(bytes);
         const { peer, isNew } = peers.hear(address, incarnation, now);
         digest.instances.forEach(known => peers.learn(known, now));
         if (digest.greeting || isNew) {
@@ -221,9 +253,7 @@
                 log.count("mesh_records_too_many");
                 return;
             }
-            peers.inContact(clock.now())
-                .filter(({ domain }) => domain === options.domain)
-                .forEach(({ address }) => send(bytes, address));
+            domainContacts().forEach(({ address }) => send(bytes, address));
         },
         peers: () => peers.inContact(clock.now()),
         contactShare: () => peers.contactShare(clock.now()),
--- a/packages/mesh/src/peers.ts
+++ b/packages/mesh/src/peers.ts
@@ -24,6 +24,11 @@
 const unheardMs = 8_000;
 /** Interval of greetings to a silent instance. */
 const greetingIntervalMs = 2_000;
+/** Interval of greetings to an instance that was learnt of late: when all start at once, it may begin to listen any moment. */
+const earlyGreetingIntervalMs = 400;
+const earlyMs = 3_000;
+/** Greetings at once. Each is answered with the addresses of all instances, and those are greeted in turn. */
+const maxGreetings = 10;
 
 /** The instances that this one knows. */
 export interface Peers {
@@ -33,7 +38,7 @@
     remove(address: string): void;
     /** Returns the instances heard of late. */
     inContact(now: number): Peer[];
-    /** Returns the silent instances that are due for a greeting, and notes the greeting. */
+    /** Returns some of the silent instances that are due for a greeting, and notes the greeting. */
     dueForGreeting(now: number): Peer[];
     /** Returns the share of known instances, this one included, that are in contact. */
     contactShare(now: number): number;
@@ -54,6 +59,13 @@
         return now - peer.heardAt < silentAfterMs;
     }
 
+    function intervalMs(peer: Peer, now: number): number {
+        if (peer.incarnation === "" && now - peer.learntAt < earlyMs) {
+            return earlyGreetingIntervalMs;
+        }
+        return counts(peer, now) ? greetingIntervalMs : 5 * greetingIntervalMs;
+    }
+
     function learn(address: string, now: number): Peer | undefined {
         if (address === self) {
             return undefined;
@@ -88,10 +100,10 @@
         remove: address => void peers.delete(address),
         inContact: now => [...peers.values()].filter(peer => isHeard(peer, now)),
         dueForGreeting(now) {
-            const due = [...peers.values()].filter(peer =>
-                !isHeard(peer, now) && now - peer.greetedAt >= greetingIntervalMs
-                && (counts(peer, now) || now - peer.greetedAt >= 5 * greetingIntervalMs)
-            );
+            const due = [...peers.values()]
+                .filter(peer => !isHeard(peer, now) && now - peer.greetedAt >= intervalMs(peer, now))
+                .sort((a, b) => a.greetedAt - b.greetedAt)
+                .slice(0, maxGreetings);
             due.forEach(peer => peer.greetedAt = now);
             return due;
         },
--- /dev/null
+++ b/packages/mesh/src/pushed-records.ts
@@ -0,0 +1,60 @@
+/**
+ * Datagrams in which an instance hands records of a stream on, as it has read them from the store.
+ */
+
+import { decode, encode } from "@msgpack/msgpack";
+import { deflateRawSync, inflateRawSync } from "node:zlib";
+
+/** Records of a stream that an instance has read from the store. */
+export interface PushedRecords {
+    stream: string;
+    /** Offsets at which the records begin and end. */
+    from: number;
+    nextOffset: number;
+    /** Keys with their values; without a value the key was dropped. */
+    records: [key: string, value: Uint8Array | null][];
+}
+
+/** First element of each datagram. Digests begin with another byte, since they are text. */
+const recordsFormat = 102;
+/** Longest datagram in bytes; a longer one would be sent in more fragments, which are lost more often. */
+const maxDatagramBytes = 8_000;
+/** Largest size of decoded records in bytes, so that a malformed datagram cannot fill the memory. */
+const maxRecordsBytes = 2_000_000;
+
+/** Encodes records; undefined when they are too many for a datagram. */
+export function encodePushedRecords({ stream, from, nextOffset, records }: PushedRecords): Buffer | undefined {
+    const bytes = encode([recordsFormat, stream, from, nextOffset, deflateRawSync(encode(records))]);
+    return bytes.length > maxDatagramBytes ? undefined : Buffer.from(bytes);
+}
+
+/** Decodes a datagram of records; undefined when it is none. */
+export function decodePushedRecords(bytes: Uint8Array): PushedRecords | undefined {
+    try {
+        return readPushedRecords(decode(bytes));
+    }
+    catch {
+        // The receiver counts datagrams that are neither a digest nor records.
+        return undefined;
+    }
+}
+
+function readPushedRecords(fields: unknown): PushedRecords | undefined {
+    if (!Array.isArray(fields) || fields[0] !== recordsFormat) {
+        return undefined;
+    }
+    const [, stream, from, nextOffset, deflated] = fields as unknown[];
+    const isValid = typeof stream === "string" && Number.isInteger(from) && Number.isInteger(nextOffset)
+        && deflated instanceof Uint8Array;
+    if (!isValid) {
+        return undefined;
+    }
+    const records = decode(inflateRawSync(deflated, { maxOutputLength: maxRecordsBytes }));
+    return Array.isArray(records) && records.every(isRecord)
+        ? { stream, from: from as number, nextOffset: nextOffset as number, records }
+        : undefined;
+}
+
+function isRecord(row: unknown): row is [string, Uint8Array | null] {
+    return Array.isArray(row) && typeof row[0] === "string" && (row[1] === null || row[1] instanceof Uint8Array);
+}
--- a/packages/replication/src/store-readers.ts
+++ b/packages/replication/src/store-readers.ts
@@ -15,8 +15,11 @@
     isFailing: boolean;
 }
 
-/** Readers of each failure domain; the second one covers for the first until its failure is detected. */
-const readersPerDomain = 2;
+/**
+ * Readers of each failure domain. While a failure of the reader is not yet detected, the digests of the other domains tell its
+ * domain that there is something to read.
+ */
+const readersPerDomain = 1;
 
 /** Ranks that are kept; instances are replaced by others at new addresses all the time. */
 const maxRanks = 2_048;
--- a/packages/replication/src/stream-follower.ts
+++ b/packages/replication/src/stream-follower.ts
@@ -46,8 +46,10 @@
     isReader?(): boolean;
     /** Called with what a read brought, for other instances; `from` is the offset at which the read began. */
     readRecords?(from: number, batch: RecordBatch): void;
-    /** Applies records; `isWhole` tells that keys without a record are gone. */
-    apply(records: readonly KeyedRecord[], isWhole: boolean): void;
+    /** Applies records; `isWhole` tells that keys without a record are gone, `source` where they came from, for logs. */
+    apply(records: readonly KeyedRecord[], isWhole: boolean, source: string): void;
+    /** Called when a poll has confirmed the stream's end, so that other instances need not poll for it. */
+    polled?(): void;
     /** Called when the store answers after failures. */
     regained?(): void;
 }
@@ -66,6 +68,8 @@
  */
 const minPollAfterMs = 1_100;
 const maxPollAfterMs = 1_400;
+/** Other instances for each one that is expected to poll early; the others hear of its answer before they poll themselves. */
+const peersPerPoll = 4;
 /** Interval in milliseconds in which an instance that is no reader looks whether it has become one. */
 const roleIntervalMs = 250;
 /** Longest wait of a reader's long poll in milliseconds; an empty answer confirms the stream's end to the others. */
@@ -127,14 +131,23 @@
             return undefined;
         }
         confirmedAt = answeredAt;
-        pollAfterMs = minPollAfterMs + (maxPollAfterMs - minPollAfterMs) * options.random();
+        pollAfterMs = drawPollAfterMs();
         applyBatch(result.value, isWhole, "store");
         if (!isWhole && nextOffset > from) {
             options.readRecords?.(from, result.value);
         }
+        if (!isReader()) {
+            options.polled?.();
+        }
         return undefined;
     }
 
+    /** Draws late times the more often the more instances there are, so that few poll when a confirmation is missing. */
+    function drawPollAfterMs(): number {
+        const lateness = options.random() ** (1 / (1 + options.peers() / peersPerPoll));
+        return minPollAfterMs + (maxPollAfterMs - minPollAfterMs) * lateness;
+    }
+
     function noteAnswer(): void {
         answeredAt = clock.now();
         if (failures > 0) {
@@ -147,7 +160,7 @@
     function applyBatch({ records, nextOffset: next }: RecordBatch, isWhole: boolean, source: string): void {
         if (records.length > 0 || isWhole) {
             log.belief("records_applied", { stream, source, records: records.length, from: nextOffset, to: next });
-            options.apply(records, isWhole);
+            options.apply(records, isWhole, source);
         }
         nextOffset = next;
     }
