Explain late answers by a target's queue; weigh failed connections by answers to others

Ruled out: cost of a full target. Requests went to sound targets until these were suspected (target_suspected lines with outcome late, timed_out and unreachable).

--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -6,7 +6,7 @@
  */
 
 import type { Candidate } from "@trefoilladder/placement";
-import { retryAfterSeconds } from "@trefoilladder/placement";
+import { queueWaitMs, retryAfterSeconds } from "@trefoilladder/placement";
 import { err, ok } from "neverthrow";
 import type { Result } from "neverthrow";
 import { refusal } from "./refusal";
@@ -24,8 +24,6 @@
     random(): number;
 }
 
-/** Work time assumed while none is known, in milliseconds. */
-const assumedMs = 400;
 /** Part of the remaining time that a request may be expected to wait; less urgent requests leave room for others. */
 const urgentWaitShare = 0.8;
 const waitShareStep = 0.1;
@@ -38,7 +36,7 @@
         return err(refusal("no_target", 503, { retryAfterSeconds: retryAfter() }));
     }
     const leastUsed = Math.min(...state.candidates.map(({ utilisation }) => utilisation));
-    const waitMs = Math.max(0, leastUsed - 1) * (state.usualMs ?? assumedMs);
+    const waitMs = queueWaitMs(leastUsed, state.usualMs);
     const share = Math.max(minWaitShare, urgentWaitShare - waitShareStep * state.priority);
     if (waitMs <= state.remainingMs * share) {
         return ok(undefined);
--- a/packages/gateway/src/attempt-run.ts
+++ b/packages/gateway/src/attempt-run.ts
@@ -2,7 +2,7 @@
  * All attempts for one request: the first, repeats after failures, and a second one beside an attempt that is late.
  */
 
-import { attemptEnd, chooseCandidate, mayRepeat, outcome } from "@trefoilladder/placement";
+import { attemptEnd, chooseCandidate, explainedWaitMs, mayRepeat, outcome } from "@trefoilladder/placement";
 import type { AttemptAllowance, AttemptEnd } from "@trefoilladder/placement";
 import type { ListedTarget } from "@trefoilladder/replication";
 import type { Route } from "@trefoilladder/serving";
@@ -65,6 +65,8 @@
 /** Idle time up to which a kept connection carries a request that can be repeated, in milliseconds. */
 const repeatableIdleMs = 6_000;
 
+/** Time in milliseconds by which a timer may be early. */
+const timerSlackMs = 5;
 /** Share of the allowance that attempts beside late ones leave to requests that have failed. */
 const lateKeptShare = 0.3;
 
@@ -153,16 +155,45 @@
     }
 
     function startLateTimer(attempt: Attempt): void {
-        const timer = setTimeout(() => {
-            lateTimers.delete(timer);
-            if (!settled && running.has(attempt) && !attempt.hasHead) {
-                attempt.markUnanswered(outcome.late);
+        startTimer(options.lateAfterMs, () => {
+            if (isWaitingFor(attempt)) {
+                noteLateness(attempt);
                 attemptBeside(attempt);
             }
-        }, options.lateAfterMs);
+        });
+    }
+
+    function startTimer(delayMs: number, callback: () => void): void {
+        const timer = setTimeout(() => {
+            lateTimers.delete(timer);
+            callback();
+        }, delayMs);
         lateTimers.add(timer);
     }
 
+    function isWaitingFor(attempt: Attempt): boolean {
+        return !settled && running.has(attempt) && !attempt.hasHead;
+    }
+
+    /** Returns the time in milliseconds that is left until the target's queue no longer explains a missing answer. */
+    function explainedMs(attempt: Attempt, afterMs: number): number {
+        const elapsedMs = now() - (attempt.sentAt ?? now());
+        return afterMs + explainedWaitMs(parts.book.utilisation(attempt.target), options.usualMs) - elapsedMs;
+    }
+
+    function noteLateness(attempt: Attempt): void {
+        const remainingMs = explainedMs(attempt, options.lateAfterMs);
+        if (remainingMs <= timerSlackMs) {
+            attempt.markUnanswered(outcome.late);
+            return;
+        }
+        startTimer(remainingMs, () => {
+            if (isWaitingFor(attempt)) {
+                noteLateness(attempt);
+            }
+        });
+    }
+
     function attemptBeside(late: Attempt): void {
         const isWorthwhile = route.idempotent && running.size === 1 && arrivals < route.maxAttempts && options.bodyKept;
         if (!isWorthwhile || !allowance.take(lateKeptShare)) {
@@ -229,7 +260,8 @@
     }
 
     function timeOut(): void {
-        running.forEach(attempt => attempt.markUnanswered(outcome.timedOut));
+        [...running].filter(attempt => explainedMs(attempt, options.lateAfterMs) <= timerSlackMs)
+            .forEach(attempt => attempt.markUnanswered(outcome.timedOut));
         failWith("timed_out", "the time is over");
     }
 
--- a/packages/gateway/src/target-book.ts
+++ b/packages/gateway/src/target-book.ts
@@ -3,7 +3,13 @@
  */
 
 import type { TargetDigest } from "@trefoilladder/mesh";
-import { createTargetHealth, createTargetLoad, createUsualShares, outcome } from "@trefoilladder/placement";
+import {
+    createTargetHealth,
+    createTargetLoad,
+    createUsualShares,
+    outcome,
+    outcomeWeight,
+} from "@trefoilladder/placement";
 import type { Candidate, LoadReport, Outcome, TargetHealth, TargetLoad, UsualShares } from "@trefoilladder/placement";
 import type { ListedTarget, TargetDirectory } from "@trefoilladder/replication";
 import type { DecisionLog } from "@trefoilladder/telemetry";
@@ -19,6 +25,8 @@
     candidates(service: string, excluded: ReadonlySet<string>): TargetCandidate[];
     begin(target: string): void;
     end(target: string): void;
+    /** Returns the estimated requests at a target by its slots. */
+    utilisation(target: ListedTarget): number;
     /** Notes the outcome of an attempt of this instance. */
     observe(target: string, kind: Outcome): void;
     /** Notes a load that the target reported. */
@@ -36,6 +44,8 @@
     health: TargetHealth;
     path: TargetHealth;
     load: TargetLoad;
+    /** Monotonic time in milliseconds at which any instance last got an answer. */
+    answeredAt: number;
     replaced: number | undefined;
     suspected: boolean;
 }
@@ -45,16 +55,6 @@
     load: LoadReport | undefined;
 }
 
-/** Weight for a target's health of an outcome that may come from the path of one instance only. */
-const pathOutcomeWeight: Record<Outcome, number> = {
-    success: 1,
-    failure: 1,
-    request_failure: 1,
-    shed: 1,
-    late: 0.6,
-    timed_out: 0.8,
-    unreachable: 0.4,
-};
 /** Outcomes that say something about the path. */
 const pathOutcomes = new Set<Outcome>([outcome.success, outcome.late, outcome.timedOut, outcome.unreachable]);
 /** Weight of the newest report in the usual utilisation of a service's targets. */
@@ -87,6 +87,7 @@
                 health: createTargetHealth(now()),
                 path: createTargetHealth(now()),
                 load: createTargetLoad(),
+                answeredAt: -Infinity,
                 replaced: undefined,
                 suspected: false,
             };
@@ -133,13 +134,28 @@
         }
     }
 
+    function noteHealth(target: string, kind: Outcome, count: number, source: string): void {
+        const entry = entryOf(target);
+        const at = now();
+        if (kind === outcome.success) {
+            entry.answeredAt = at;
+        }
+        const weight = outcomeWeight(kind, at - entry.answeredAt) * count;
+        entry.health.observe(kind, at, weight, noteShare(target, kind));
+        noteSuspicion(target, entry, kind, source);
+    }
+
+    function utilisationOf(target: ListedTarget, at: number): number {
+        return entryOf(target.id).load.utilisation(target.slots, at, usualUtilisation.get(target.service) ?? 0);
+    }
+
     function candidateOf(target: ListedTarget, at: number): TargetCandidate {
-        const { health, path, load } = entryOf(target.id);
+        const { health, path } = entryOf(target.id);
         return {
             target,
             sick: health.sick(at),
             pathSick: path.sick(at),
-            utilisation: load.utilisation(target.slots, at, usualUtilisation.get(target.service) ?? 0),
+            utilisation: utilisationOf(target, at),
             cold: at < target.coldUntil,
             near: target.domain === parts.domain,
         };
@@ -154,15 +170,14 @@
         },
         begin: target => entryOf(target).load.begin(),
         end: target => entryOf(target).load.end(),
+        utilisation: target => utilisationOf(target, now()),
         observe(target, kind) {
-            const entry = entryOf(target);
-            entry.health.observe(kind, now(), pathOutcomeWeight[kind], noteShare(target, kind));
+            noteHealth(target, kind, 1, "own");
             if (pathOutcomes.has(kind)) {
-                entry.path.observe(kind, now());
+                entryOf(target).path.observe(kind, now());
             }
             const { outcomes: counts } = pendingOf(target);
             counts.set(kind, (counts.get(kind) ?? 0) + 1);
-            noteSuspicion(target, entry, kind, "own");
             if (kind !== outcome.success) {
                 parts.urgent();
             }
@@ -179,12 +194,9 @@
             if (directory.get(target) === undefined) {
                 return;
             }
-            const entry = entryOf(target);
             for (const [kind, count] of counts) {
                 if (outcomes.has(kind)) {
-                    const known = kind as Outcome;
-                    entry.health.observe(known, now(), pathOutcomeWeight[known] * count, noteShare(target, known));
-                    noteSuspicion(target, entry, known, "peer");
+                    noteHealth(target, kind as Outcome, count, "peer");
                 }
             }
             if (load !== undefined) {
--- a/test/gateway/attempt-run.test.ts
+++ b/test/gateway/attempt-run.test.ts
@@ -53,6 +53,8 @@
         end: silent,
         observe: (_: string, kind: string) => void outcomes.push(kind),
         reportLoad: silent,
+        utilisation: (target: { id: string; }) =>
+            candidates.find(candidate => candidate.target.id === target.id)!.utilisation,
     } as unknown as TargetBook;
     const log = { request: silent } as never;
     const run = startRun({
