Tell others at once only what they do not know; count evidence with less work

Each failed attempt sent a digest at once, also when a whole service turned requests away; each total was told four times; each request computed the health of all targets of its service twice.

Change: a digest goes at once only when the probability that the target is sick grows by a tenth; totals are told twice; admission looks at loads only; shares of outcomes are kept in arrays and their quantiles for a second; digests of large fleets are 0.6 s apart.

Ruled out: GONE by waiting connections alone (an abandoned request closes its connection); not ruled out: another cause beside the lack of processor time.

Test: test/gateway/target-book.

--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -5,7 +5,6 @@
  * request is refused at once, as not run, so that its caller can come back while there is time.
  */
 
-import type { Candidate } from "@trefoilladder/placement";
 import { queueWaitMs, retryAfterSeconds } from "@trefoilladder/placement";
 import { err, ok } from "neverthrow";
 import type { Result } from "neverthrow";
@@ -19,7 +18,8 @@
     priority: number;
     /** Usual time that a target works on such a request, in milliseconds; undefined while unknown. */
     usualMs: number | undefined;
-    candidates: readonly Candidate[];
+    /** Requests by slots at the least used target; undefined without a target. */
+    leastUsed: number | undefined;
     refusedShare: number;
     random(): number;
 }
@@ -32,10 +32,10 @@
 /** Refuses a request when no target can be expected to answer in time. */
 export function admitLoad(state: LoadState): Result<void, Refusal> {
     const retryAfter = () => retryAfterSeconds(Math.max(0.3, state.refusedShare), state.random);
-    if (state.candidates.length === 0) {
+    const { leastUsed } = state;
+    if (leastUsed === undefined) {
         return err(refusal("no_target", 503, { retryAfterSeconds: retryAfter() }));
     }
-    const leastUsed = Math.min(...state.candidates.map(({ utilisation }) => utilisation));
     const waitMs = queueWaitMs(leastUsed, state.usualMs);
     const share = Math.max(minWaitShare, urgentWaitShare - waitShareStep * state.priority);
     if (waitMs <= state.remainingMs * share) {
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -112,7 +112,7 @@
                 remainingMs: endAt - arrivedAt,
                 priority: organisation?.priority ?? route.priority,
                 usualMs: parts.profiles.of(route).latency.usualMs(),
-                candidates: parts.book.candidates(service, new Set()),
+                leastUsed: parts.book.leastUtilisation(service),
                 refusedShare: parts.serviceState(service).refusedShare(),
                 random: parts.random,
             });
--- a/packages/gateway/src/target-book.ts
+++ b/packages/gateway/src/target-book.ts
@@ -23,6 +23,8 @@
 export interface TargetBook {
     /** Returns the targets of a service that a request may be sent to. */
     candidates(service: string, excluded: ReadonlySet<string>): TargetCandidate[];
+    /** Returns the estimated requests by slots at the least used target of a service; undefined without a target. */
+    leastUtilisation(service: string): number | undefined;
     begin(target: string): void;
     end(target: string): void;
     /** Returns the estimated requests at a target by its slots. */
@@ -63,6 +65,12 @@
 const suspectedFrom = 0.6;
 const trustedBelow = 0.3;
 
+/**
+ * Growth of the probability that other instances have to hear of soon. What happens at all targets of a service, or at one that
+ * is known to be sick, changes little and can wait for the next digest.
+ */
+const urgentChange = 0.1;
+
 const outcomes = new Set<string>(Object.values(outcome));
 
 /** Creates a book without knowledge. */
@@ -105,8 +113,7 @@
         return news;
     }
 
-    function noteSuspicion(target: string, entry: Entry, kind: Outcome, source: string): void {
-        const sick = entry.health.sick(now());
+    function noteSuspicion(target: string, entry: Entry, sick: number, kind: Outcome, source: string): void {
         const suspected = entry.suspected ? sick >= trustedBelow : sick >= suspectedFrom;
         if (suspected !== entry.suspected) {
             entry.suspected = suspected;
@@ -134,15 +141,17 @@
         }
     }
 
-    function noteHealth(target: string, kind: Outcome, count: number, source: string): void {
+    /** Notes an outcome and returns the probability that the target is sick. */
+    function noteHealth(target: string, kind: Outcome, count: number, source: string): number {
         const entry = entryOf(target);
         const at = now();
         if (kind === outcome.success) {
             entry.answeredAt = at;
         }
         const weight = outcomeWeight(kind, at - entry.answeredAt) * count;
-        entry.health.observe(kind, at, weight, noteShare(target, kind));
-        noteSuspicion(target, entry, kind, source);
+        const sick = entry.health.observe(kind, at, weight, noteShare(target, kind));
+        noteSuspicion(target, entry, sick, kind, source);
+        return sick;
     }
 
     function utilisationOf(target: ListedTarget, at: number): number {
@@ -161,24 +170,34 @@
         };
     }
 
+    function usable(service: string): ListedTarget[] {
+        return directory.serving(service).filter(target => entries.get(target.id)?.replaced !== target.startedAt);
+    }
+
     return {
         candidates(service, excluded) {
             const at = now();
-            return directory.serving(service)
-                .filter(target => !excluded.has(target.id) && entries.get(target.id)?.replaced !== target.startedAt)
+            return usable(service)
+                .filter(target => !excluded.has(target.id))
                 .map(target => candidateOf(target, at));
         },
+        leastUtilisation(service) {
+            const at = now();
+            const utilisations = usable(service).map(target => utilisationOf(target, at));
+            return utilisations.length === 0 ? undefined : Math.min(...utilisations);
+        },
         begin: target => entryOf(target).load.begin(),
         end: target => entryOf(target).load.end(),
         utilisation: target => utilisationOf(target, now()),
         observe(target, kind) {
-            noteHealth(target, kind, 1, "own");
+            const before = entryOf(target).health.sick(now());
+            const after = noteHealth(target, kind, 1, "own");
             if (pathOutcomes.has(kind)) {
                 entryOf(target).path.observe(kind, now());
             }
             const { outcomes: counts } = pendingOf(target);
             counts.set(kind, (counts.get(kind) ?? 0) + 1);
-            if (kind !== outcome.success) {
+            if (after - before >= urgentChange) {
                 parts.urgent();
             }
         },
--- a/packages/limits/src/limit-group.ts
+++ b/packages/limits/src/limit-group.ts
@@ -32,7 +32,7 @@
 /** Instances that are remembered; the one that was heard longest ago is forgotten first. */
 const maxHeard = 4_096;
 /** Further digests that carry a changed total, since datagrams get lost. */
-const repeats = 3;
+const repeats = 1;
 
 /** Creates a group without limits. Totals that changed by less than `minChange` since they were told are no news. */
 export function createLimitGroup(options: { now(): number; minChange: number; }): LimitGroup {
--- a/packages/mesh/src/mesh.ts
+++ b/packages/mesh/src/mesh.ts
@@ -74,7 +74,7 @@
 
 /** Interval of digests while there is news, in milliseconds, up to a number of peers; it grows with more of them. */
 const newsIntervalMs = 200;
-const peersPerInterval = 64;
+const peersPerInterval = 44;
 /** Longest time between two digests; two may be lost before an instance counts as silent. */
 const heartbeatIntervalMs = 600;
 /** Instances in contact from which on digests go through relays. */
--- a/packages/placement/src/target-health.ts
+++ b/packages/placement/src/target-health.ts
@@ -49,9 +49,10 @@
 export interface TargetHealth {
     /**
      * Updates the probability by an outcome; `weight` is 1 for a full outcome and less for an indirect one. `usualShare` is
-     * the outcome's share at all targets of the service: what happens at all of them says nothing against one.
+     * the outcome's share at all targets of the service: what happens at all of them says nothing against one. Returns the
+     * updated probability.
      */
-    observe(kind: Outcome, now: number, weight?: number, usualShare?: number): void;
+    observe(kind: Outcome, now: number, weight?: number, usualShare?: number): number;
     /** Returns the probability that the target is sick at a monotonic time in milliseconds. */
     sick(now: number): number;
 }
@@ -80,6 +81,7 @@
             advance(now);
             const odds = probability / (1 - probability) * Math.exp(evidenceOf(kind, usualShare) * weight);
             probability = Math.min(maxSick, Math.max(minSick, odds / (1 + odds)));
+            return probability;
         },
         sick(now) {
             advance(now);
--- a/packages/placement/src/usual-shares.ts
+++ b/packages/placement/src/usual-shares.ts
@@ -24,35 +24,38 @@
 /** Quantile over the targets that counts as usual; it holds while fewer than three in four are sick. */
 const usualQuantile = 0.25;
 /** Time for which quantiles are kept, in milliseconds. */
-const refreshMs = 250;
+const refreshMs = 1_000;
 
 const kinds = Object.values(outcome);
+const positions = new Map(kinds.map((kind, position) => [kind, position]));
 
 /** Creates the shares of a service without outcomes. */
 export function createUsualShares(): UsualShares {
-    const targets = new Map<string, Map<Outcome, number>>();
-    let quantiles = new Map<Outcome, number>();
+    /** Share of each kind by its position. */
+    const targets = new Map<string, number[]>();
+    let quantiles = kinds.map(() => 0);
     let refreshedAt = -Infinity;
 
+    function refresh(now: number): void {
+        refreshedAt = now;
+        const all = [...targets.values()];
+        quantiles = kinds.map((_, position) => quantile(all.map(shares => shares[position]!), usualQuantile) ?? 0);
+    }
+
     return {
         note(target, observed) {
-            const shares = targets.get(target) ?? new Map<Outcome, number>();
+            const shares = targets.get(target) ?? kinds.map(() => 0);
             targets.set(target, shares);
-            for (const kind of kinds) {
-                const share = shares.get(kind) ?? 0;
-                shares.set(kind, share + newestWeight * ((kind === observed ? 1 : 0) - share));
+            for (let position = 0; position < shares.length; position++) {
+                shares[position]! *= 1 - newestWeight;
             }
+            shares[positions.get(observed)!]! += newestWeight;
         },
         usual(kind, now) {
             if (now - refreshedAt >= refreshMs) {
-                refreshedAt = now;
-                const all = [...targets.values()];
-                quantiles = new Map(kinds.map(each => [
-                    each,
-                    quantile(all.map(shares => shares.get(each) ?? 0), usualQuantile) ?? 0,
-                ]));
+                refresh(now);
             }
-            return quantiles.get(kind) ?? 0;
+            return quantiles[positions.get(kind)!]!;
         },
         forget: target => void targets.delete(target),
     };
--- /dev/null
+++ b/test/gateway/target-book.test.ts
@@ -0,0 +1,62 @@
+import { createVirtualClock } from "@trefoilladder/clock";
+import { createTargetDirectory } from "@trefoilladder/replication";
+import { createTargetBook } from "../../packages/gateway/src/target-book";
+import { silentLog } from "../replication/silent-log";
+import { targetRecord } from "./fixtures";
+
+/** Creates a book of some targets; `urgent` counts the calls for a digest at once. */
+function openBook(size: number) {
+    const clock = createVirtualClock();
+    const log = silentLog();
+    const directory = createTargetDirectory({ clock, log, removed: () => undefined });
+    const targets = Array.from({ length: size }, (_, index) => targetRecord(index, 1));
+    targets.forEach(target => directory.put(target));
+    const counts = { urgent: 0 };
+    const book = createTargetBook({
+        directory,
+        domain: "a",
+        now: () => clock.now(),
+        log,
+        urgent: () => counts.urgent += 1,
+    });
+    return { clock, book, counts, ids: targets.map(({ id }) => id) };
+}
+
+describe("what an instance tells the others at once", () => {
+    test("is the first failure of a target", () => {
+        const { book, counts, ids } = openBook(4);
+        book.observe(ids[0]!, "failure");
+        expect(counts.urgent).toBe(1);
+    });
+
+    // Replays scale-1: a whole service turned away half of its arrivals for 8.5 s, and each instance sent a digest for each of
+    // them; on grown sites the processor time of these digests ended the day.
+    test("is not each request that a whole service turns away", async () => {
+        const { clock, book, counts, ids } = openBook(4);
+        let shed = 0;
+        for (let round = 0; round < 100; round++) {
+            await clock.advance(100);
+            const isShed = round % 8 < 4;
+            shed += isShed ? 1 : 0;
+            book.observe(ids[round % ids.length]!, isShed ? "shed" : "success");
+        }
+        expect(counts.urgent).toBeLessThan(shed / 2);
+    });
+
+    test("is not each failure of a target that is known to be sick", () => {
+        const { book, counts, ids } = openBook(4);
+        for (let round = 0; round < 50; round++) {
+            book.observe(ids[0]!, "failure");
+        }
+        expect(counts.urgent).toBeLessThan(5);
+    });
+});
+
+describe("the least used target", () => {
+    test("is that of the service, and none without targets", () => {
+        const { book, ids } = openBook(2);
+        book.begin(ids[0]!);
+        expect(book.leastUtilisation("dossier")).toBe(0);
+        expect(book.leastUtilisation("archive")).toBeUndefined();
+    });
+});
