Take each datagram of a relay as a sign that it lives

Cause: digests of large fleets are 0.6 s apart and may wait 0.06 s at a relay, so that a relay was passed over after 0.7 s although it had sent bundles all the time (found by reading; at 40 instances digests are 0.2 s apart).

Change: every datagram of an instance counts as a sign of it. Test: the first one of the peers that needs it fails before.

--- a/packages/mesh/src/mesh.ts
+++ b/packages/mesh/src/mesh.ts
@@ -7,7 +7,7 @@
 import type { Clock } from "@trefoilladder/clock";
 import type { DecisionLog } from "@trefoilladder/telemetry";
 import { createSocket } from "node:dgram";
-import type { Socket } from "node:dgram";
+import type { RemoteInfo, Socket } from "node:dgram";
 import { splitAddress } from "./address";
 import { decodeBundle } from "./bundle";
 import type { Bundle } from "./bundle";
@@ -178,7 +178,7 @@
 
     function drawRelay(contacts: readonly Peer[]): string {
         const now = clock.now();
-        const own = { address: self, linkMbps: options.linkMbps, heardAt: now };
+        const own = { address: self, linkMbps: options.linkMbps, aliveAt: now };
         const relays = chooseRelays([own, ...contacts.filter(({ domain }) => domain === options.domain)], now);
         turn += 1;
         return relays[turn % relays.length]!.address;
@@ -204,7 +204,8 @@
         options.contactChanged(share);
     }
 
-    function receive(datagram: Buffer): void {
+    function receive(datagram: Buffer, from: RemoteInfo): void {
+        peers.noteDatagram(`${from.address}:${from.port}`, clock.now());
         if (datagram[0] === digestStart) {
             receiveDigest(datagram);
             return;
--- a/packages/mesh/src/peers.ts
+++ b/packages/mesh/src/peers.ts
@@ -7,6 +7,8 @@
     /** Monotonic times in milliseconds. */
     learntAt: number;
     heardAt: number;
+    /** Time of the last datagram of the instance itself, or of a digest that came through others. */
+    aliveAt: number;
     greetedAt: number;
     configurationVersion: number;
     targetsOffset: number;
@@ -40,6 +42,8 @@
     learn(address: string, now: number): void;
     /** Notes a digest; undefined for one that was sent before its sender left and arrives later. */
     hear(address: string, incarnation: string, now: number): Peer | undefined;
+    /** Notes that a datagram came from an address, whatever it holds. */
+    noteDatagram(address: string, now: number): void;
     /** Notes that an incarnation stops. */
     remove(address: string, incarnation: string): void;
     /** Returns the instances heard of late. */
@@ -85,6 +89,7 @@
                 incarnation: "",
                 learntAt: now,
                 heardAt: -Infinity,
+                aliveAt: -Infinity,
                 greetedAt: -Infinity,
                 configurationVersion: 0,
                 targetsOffset: 0,
@@ -106,8 +111,15 @@
             const peer = learn(address, now)!;
             peer.incarnation = incarnation;
             peer.heardAt = now;
+            peer.aliveAt = now;
             return peer;
         },
+        noteDatagram(address, now) {
+            const peer = peers.get(address);
+            if (peer !== undefined) {
+                peer.aliveAt = now;
+            }
+        },
         remove(address, incarnation) {
             peers.delete(address);
             left.delete(address);
--- a/packages/mesh/src/relays.ts
+++ b/packages/mesh/src/relays.ts
@@ -12,13 +12,13 @@
     address: string;
     /** Bandwidth of the instance's link in megabits a second. */
     linkMbps: number;
-    /** Monotonic time in milliseconds at which a digest of the instance arrived last. */
-    heardAt: number;
+    /** Monotonic time in milliseconds of the last sign of the instance. A relay sends something several times a second. */
+    aliveAt: number;
 }
 
 /** Relays of each failure domain. */
 const relaysPerDomain = 2;
-/** Time without a digest after which an instance is not asked to relay, in milliseconds; shorter than that of silence. */
+/** Time without a sign after which an instance is not asked to relay, in milliseconds; shorter than that of silence. */
 const livelyMs = 700;
 
 function compareCandidates(a: RelayCandidate, b: RelayCandidate): number {
@@ -30,7 +30,7 @@
  * instances of its domain what all others see.
  */
 export function chooseRelays<T extends RelayCandidate>(candidates: readonly T[], now: number): T[] {
-    return candidates.filter(({ heardAt }) => now - heardAt < livelyMs)
+    return candidates.filter(({ aliveAt }) => now - aliveAt < livelyMs)
         .sort(compareCandidates)
         .slice(0, relaysPerDomain);
 }
--- a/test/mesh/digest.test.ts
+++ b/test/mesh/digest.test.ts
@@ -182,6 +182,16 @@
         expect(peers.contactShare(5_000)).toBe(1);
     });
 
+    // Guards against relays that are passed over between two digests, 0.6 s apart in large fleets, although they send bundles.
+    test("notes each datagram as a sign of its sender", () => {
+        const peers = createPeers("10.0.0.1:1");
+        const peer = peers.hear("10.0.0.2:1", "a", 0)!;
+        peers.noteDatagram("10.0.0.2:1", 650);
+        peers.noteDatagram("10.0.0.9:1", 650);
+        expect(peer).toMatchObject({ heardAt: 0, aliveAt: 650 });
+        expect(peers.addresses()).toEqual(["10.0.0.2:1"]);
+    });
+
     // Guards against a digest that waited at a relay and brings back an instance that has left.
     test("hears an instance that has left only after its restart", () => {
         const peers = createPeers("10.0.0.1:1");
--- a/test/mesh/relays.test.ts
+++ b/test/mesh/relays.test.ts
@@ -8,7 +8,7 @@
 import { silentLog } from "../replication/silent-log";
 
 describe("the choice of relays", () => {
-    const candidate = (address: string, linkMbps: number, heardAt = 0) => ({ address, linkMbps, heardAt });
+    const candidate = (address: string, linkMbps: number, aliveAt = 0) => ({ address, linkMbps, aliveAt });
     const namesOf = (candidates: { address: string; }[]) => candidates.map(({ address }) => address);
 
     // Guards against a small link that has to carry what all instances see to all of its domain: about 11 Mbit/s at 132 instances.
