Ignore totals and ages of digests that a later one has overtaken

Cause (by reading; not seen in a run): a relay that was stopped for seconds sends on what it had received. A total from then is lower than the known one, and the difference would be given back to the limit at all instances at once; an age from then would confirm the end of a stream that has moved on.

Change: digests are numbered within an incarnation; of an overtaken one only the outcomes count. Test: test/mesh/relays, the overtaken digest told its totals before.

--- a/packages/mesh/src/digest.ts
+++ b/packages/mesh/src/digest.ts
@@ -41,6 +41,16 @@
     configurationAgeMs: number;
     /** Bandwidth of the sender's link in megabits a second; 0 when it is not known. */
     linkMbps: number;
+    /** Number of the digest within its sender's incarnation. */
+    sequence: number;
+}
+
+/**
+ * Returns what a digest still tells that a later one of its sender has overtaken: the outcomes. Totals, offsets and ages of the
+ * later one hold.
+ */
+export function withoutState(digest: Digest): Digest {
+    return { ...digest, admitted: [], furtherAttempts: [], targetsAgeMs: -1, configurationAgeMs: -1 };
 }
 
 /** A datagram that is no digest. */
@@ -81,6 +91,7 @@
         digest.configurationOffset,
         digest.configurationAgeMs,
         digest.linkMbps,
+        digest.sequence,
     ]));
 }
 
@@ -150,16 +161,14 @@
     const [, sender, leaving, greeting, configurationVersion, targetsOffset, rows, admitted, instances] =
         fields as unknown[];
     // Absent in digests of older instances.
-    const [furtherAttempts, domain, targetsAgeMs, configurationOffset, configurationAgeMs, linkMbps] = withDefaults(
-        fields.slice(9),
-        [[], "", -1, 0, -1, 0],
-    );
+    const [furtherAttempts, domain, targetsAgeMs, configurationOffset, configurationAgeMs, linkMbps, sequence] =
+        withDefaults(fields.slice(9), [[], "", -1, 0, -1, 0, 0]);
     const targets = readTargets(rows);
     const isValid = typeof sender === "string" && typeof leaving === "boolean" && typeof greeting === "boolean"
         && typeof configurationVersion === "number" && typeof targetsOffset === "number" && isPairList(admitted)
         && isPairList(furtherAttempts) && typeof domain === "string" && typeof targetsAgeMs === "number"
         && typeof configurationOffset === "number" && typeof configurationAgeMs === "number"
-        && typeof linkMbps === "number"
+        && typeof linkMbps === "number" && typeof sequence === "number"
         && Array.isArray(instances) && instances.every(address => typeof address === "string");
     return isValid && targets !== undefined
         ? {
@@ -177,6 +186,7 @@
             configurationOffset,
             configurationAgeMs,
             linkMbps,
+            sequence,
         }
         : undefined;
 }
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -1,7 +1,7 @@
 export { splitAddress } from "./address";
 export { decodeBundle, encodeBundles } from "./bundle";
 export type { Bundle } from "./bundle";
-export { decodeDigest, encodeDigest, toPassOn, toRelayed } from "./digest";
+export { decodeDigest, encodeDigest, toPassOn, toRelayed, withoutState } from "./digest";
 export type { Digest, TargetDigest } from "./digest";
 export { createMesh } from "./mesh";
 export type { Mesh, News } from "./mesh";
--- a/packages/mesh/src/mesh.ts
+++ b/packages/mesh/src/mesh.ts
@@ -11,7 +11,7 @@
 import { splitAddress } from "./address";
 import { decodeBundle } from "./bundle";
 import type { Bundle } from "./bundle";
-import { decodeDigest, encodeDigest, toPassOn, toRelayed } from "./digest";
+import { decodeDigest, encodeDigest, toPassOn, toRelayed, withoutState } from "./digest";
 import type { Digest, TargetDigest } from "./digest";
 import { createPeers } from "./peers";
 import type { Peer } from "./peers";
@@ -99,6 +99,7 @@
     let lastShare = 0;
     let closed = false;
     let turn = 0;
+    let sequence = 0;
     const outbox = createRelay({
         domain: options.domain,
         now: () => clock.now(),
@@ -131,6 +132,7 @@
             configurationOffset: news.configurationOffset ?? 0,
             configurationAgeMs: news.configurationAgeMs ?? -1,
             linkMbps: options.linkMbps,
+            sequence: sequence += 1,
             ...flags,
         });
     }
@@ -264,6 +266,12 @@
         if (digest.greeting) {
             send(encodeNews({}, { instances: peers.addresses() }), address);
         }
+        // A relay that stood still sends on what is seconds old; a total from then would seem to be given back.
+        if (digest.sequence <= peer.sequence) {
+            options.receive(withoutState(digest), peer);
+            return;
+        }
+        peer.sequence = digest.sequence;
         // A greeting tells nothing of the streams.
         if (digest.configurationVersion > 0 || digest.targetsAgeMs >= 0) {
             peer.configurationVersion = digest.configurationVersion;
--- a/packages/mesh/src/peers.ts
+++ b/packages/mesh/src/peers.ts
@@ -18,6 +18,8 @@
     isFailing: boolean;
     /** Bandwidth of the instance's link in megabits a second; 0 while it is not known. */
     linkMbps: number;
+    /** Number of the newest digest of the incarnation. */
+    sequence: number;
 }
 
 /** Time without a digest after which an instance counts as silent. */
@@ -96,6 +98,7 @@
                 domain: "",
                 isFailing: true,
                 linkMbps: 0,
+                sequence: -1,
             };
             peers.set(address, peer);
         }
@@ -109,7 +112,10 @@
                 return undefined;
             }
             const peer = learn(address, now)!;
-            peer.incarnation = incarnation;
+            if (peer.incarnation !== incarnation) {
+                peer.incarnation = incarnation;
+                peer.sequence = -1;
+            }
             peer.heardAt = now;
             peer.aliveAt = now;
             return peer;
--- a/test/mesh/digest.test.ts
+++ b/test/mesh/digest.test.ts
@@ -32,6 +32,7 @@
     configurationOffset: 4,
     configurationAgeMs: 90,
     linkMbps: 200,
+    sequence: 31,
 };
 
 describe("digest", () => {
@@ -42,7 +43,7 @@
     // Guards against a split of the mesh while instances are replaced by newer ones.
     test("is read from an instance that tells less", () => {
         const fields = JSON.parse(encodeDigest(digest).toString()) as unknown[];
-        const older = decodeDigest(Buffer.from(JSON.stringify(fields.slice(0, -6))))._unsafeUnwrap();
+        const older = decodeDigest(Buffer.from(JSON.stringify(fields.slice(0, -7))))._unsafeUnwrap();
         const told = {
             furtherAttempts: [],
             domain: "",
@@ -50,6 +51,7 @@
             configurationOffset: 0,
             configurationAgeMs: -1,
             linkMbps: 0,
+            sequence: 0,
         };
         expect(older).toEqual({ ...digest, ...told });
     });
--- a/test/mesh/relays.test.ts
+++ b/test/mesh/relays.test.ts
@@ -33,6 +33,8 @@
     mesh: Mesh;
     /** Addresses of the instances whose news has arrived. */
     heard: Set<string>;
+    /** What digests told, in the order in which they arrived. */
+    told: Digest[];
 }
 
 describe("many instances of two domains", () => {
@@ -47,8 +49,10 @@
     function open(address: string, port: number, domain: string): Trial {
         const heard = new Set<string>();
         let total = 0;
+        const told: Digest[] = [];
         const trial: Trial = {
             heard,
+            told,
             mesh: createMesh({
                 address,
                 port,
@@ -68,7 +72,10 @@
                     targetsAgeMs: 0,
                     configurationAgeMs: 0,
                 }),
-                receive: digest => heard.add(digest.sender.split(":")[0]!),
+                receive(digest) {
+                    heard.add(digest.sender.split(":")[0]!);
+                    told.push(digest);
+                },
                 receiveRecords: () => undefined,
                 contactChanged: () => undefined,
             }),
@@ -106,6 +113,46 @@
         expect(trials.map(({ mesh }) => mesh.contactShare())).toEqual(trials.map(() => 1));
     });
 
+    // Guards against totals from before, which would be given back to the limit: a relay that was stopped for seconds sends on
+    // what it had received.
+    test("take outcomes only from a digest that a later one has overtaken", async () => {
+        const port = await freePort();
+        const [address] = await openAll({ a: 1 }, port) as [string];
+        const sender = "127.0.4.2";
+        const socket = createSocket("udp4");
+        sockets.push(socket);
+        await new Promise<void>(resolve => socket.bind(port, sender, resolve));
+        const tell = (sequence: number, total: number, incarnation = "x1") => {
+            const digest: Digest = {
+                sender: `${sender}:${port}/${incarnation}`,
+                leaving: false,
+                greeting: false,
+                configurationVersion: 1,
+                targetsOffset: 0,
+                targets: [{ target: "t-1", outcomes: [["failure", 1]], load: undefined }],
+                admitted: [["taipei", total]],
+                furtherAttempts: [["dossier", total]],
+                instances: [],
+                domain: "a",
+                targetsAgeMs: 0,
+                configurationOffset: 0,
+                configurationAgeMs: 0,
+                linkMbps: 10,
+                sequence,
+            };
+            socket.send(encodeDigest(digest), port, address);
+        };
+        const { told } = trials[0]!;
+        for (const [sequence, total, incarnation] of [[5, 50, "x1"], [4, 40, "x1"], [1, 1, "x2"]] as const) {
+            const before = told.length;
+            tell(sequence, total, incarnation);
+            await until(() => told.length > before);
+        }
+        expect(told.map(({ admitted }) => admitted)).toEqual([[["taipei", 50]], [], [["taipei", 1]]]);
+        expect(told.map(({ targets }) => targets.length)).toEqual([1, 1, 1]);
+        expect(told[1]).toMatchObject({ furtherAttempts: [], targetsAgeMs: -1, configurationAgeMs: -1 });
+    });
+
     // Guards against a domain that loses contact because its first relay drops what it is asked to pass on.
     test("stay in contact while one of the relays passes nothing on", async () => {
         const port = await freePort();
@@ -129,11 +176,12 @@
             configurationOffset: 0,
             configurationAgeMs: 0,
             linkMbps: 1_000,
+            sequence: 0,
         };
-        const timer = setInterval(
-            () => addresses.forEach(address => socket.send(encodeDigest(digest), port, address)),
-            200,
-        );
+        const timer = setInterval(() => {
+            digest.sequence += 1;
+            addresses.forEach(address => socket.send(encodeDigest(digest), port, address));
+        }, 200);
         trials.forEach(({ mesh }) => mesh.learn(addresses[0]!));
         await allHear(addresses.length);
         for (let round = 0; round < 3; round++) {
