--- /dev/null
+++ b/test/mesh/digest-cost.bench.ts
@@ -0,0 +1,146 @@
+/**
+ * Processor time of the digests of a large fleet at one instance, from the datagram to the books.
+ *
+ * Run: npx esbuild test/mesh/digest-cost.bench.ts --bundle --platform=node --outfile=dist/digest-cost.js && node dist/digest-cost.js
+ */
+
+import { createVirtualClock } from "@trefoilladder/clock";
+import { createLimitGroup, createSharedLimit } from "@trefoilladder/limits";
+import { decodeBundle, encodeBundles, encodeDigest } from "@trefoilladder/mesh";
+import type { Digest } from "@trefoilladder/mesh";
+import { createTargetDirectory } from "@trefoilladder/replication";
+import { createTargetBook } from "../../packages/gateway/src/target-book";
+import { createRandomSource } from "../../packages/routing/src/random-source";
+import { silentLog } from "../replication/silent-log";
+
+/** A fleet and its load. */
+interface FleetLoad {
+    instances: number;
+    targets: number;
+    organisations: number;
+    requestsPerSecond: number;
+    digestMs: number;
+    bundleMs: number;
+    seconds: number;
+}
+
+const site: FleetLoad = {
+    instances: 40,
+    targets: 30,
+    organisations: 8,
+    requestsPerSecond: 134,
+    digestMs: 200,
+    bundleMs: 60,
+    seconds: 40,
+};
+
+const grownSite: FleetLoad = {
+    instances: 132,
+    targets: 255,
+    organisations: 86,
+    requestsPerSecond: 880,
+    digestMs: 600,
+    bundleMs: 60,
+    seconds: 40,
+};
+
+function createBooks(load: FleetLoad, now: () => number) {
+    const clock = createVirtualClock();
+    const log = silentLog();
+    const directory = createTargetDirectory({ clock, log, removed: () => undefined });
+    for (let index = 0; index < load.targets; index++) {
+        directory.put({
+            id: `i-49d26d80${index}`,
+            service: index % 2 === 0 ? "dossier" : "archive",
+            address: "10.1.0.1",
+            port: index,
+            domain: "a",
+            slots: 6,
+            draining: false,
+            coldMs: 0,
+            startedAt: 1,
+            sequence: 1,
+        });
+    }
+    const group = createLimitGroup({ now, minChange: 1 });
+    for (let index = 0; index < load.organisations; index++) {
+        const limit = createSharedLimit({
+            ratePerSecond: 20,
+            burst: 20,
+            now: 0,
+            contactShare: 1,
+            heardAt: group.heardAt,
+        });
+        group.add(`huka${index}`, limit);
+    }
+    const book = createTargetBook({ directory, domain: "a", now, log, urgent: () => undefined });
+    return { book, group };
+}
+
+function createDigest(load: FleetLoad, sender: number, round: number, random: () => number): Digest {
+    const requests = Math.round(load.requestsPerSecond / load.instances * load.digestMs / 1_000);
+    const pick = (count: number) => Math.floor(random() * count);
+    return {
+        sender: `10.1.0.${sender}:7660/a1b2c3d4e5f6`,
+        leaving: false,
+        greeting: false,
+        configurationVersion: 12,
+        targetsOffset: 400,
+        targets: Array.from({ length: requests }, () => ({
+            target: `i-49d26d80${pick(load.targets)}`,
+            outcomes: [[random() < 0.04 ? "failure" : "success", 1]],
+            load: [pick(6), 0, 6],
+        })),
+        // Totals are told twice.
+        admitted: Array.from({ length: 2 * requests }, () => [`huka${pick(load.organisations)}`, round]),
+        furtherAttempts: [["dossier", -round * 0.19], ["archive", -round * 0.19]],
+        instances: ["10.1.0.7:7660", "10.1.0.9:7660"],
+        domain: "a",
+        targetsAgeMs: 250,
+        configurationOffset: 4,
+        configurationAgeMs: 90,
+        linkMbps: 10,
+        sequence: round,
+    };
+}
+
+function measure(load: FleetLoad): void {
+    const source = createRandomSource(1);
+    const random = () => source.next();
+    let now = 0;
+    const { book, group } = createBooks(load, () => now);
+    const bundles = Math.floor(load.seconds * 1_000 / load.bundleMs);
+    const digestsPerBundle = Math.round(load.instances * load.bundleMs / load.digestMs);
+    let bytes = 0;
+    let cpuUs = 0;
+    for (let index = 0; index < bundles; index++) {
+        now += load.bundleMs;
+        const texts = Array.from({ length: digestsPerBundle }, (_, each) => {
+            const sender = (index * digestsPerBundle + each) % load.instances;
+            return encodeDigest(createDigest(load, sender, index, random)).toString();
+        });
+        const datagrams = encodeBundles(texts, false);
+        bytes += datagrams.reduce((sum, datagram) => sum + datagram.length, 0);
+        const before = process.cpuUsage();
+        for (const datagram of datagrams) {
+            for (const digest of decodeBundle(datagram)!.digests) {
+                digest.targets.forEach(book.learn);
+                group.learn(digest.sender, digest.admitted);
+            }
+        }
+        const used = process.cpuUsage(before);
+        cpuUs += used.user + used.system;
+    }
+    const digests = bundles * digestsPerBundle;
+    process.stdout.write(`${
+        JSON.stringify({
+            instances: load.instances,
+            digests: Math.round(digests),
+            bytesPerDigest: Math.round(bytes / digests),
+            usPerDigest: Math.round(cpuUs / digests),
+            coreShare: Math.round(cpuUs / load.seconds / 10) / 1e5,
+        })
+    }\n`);
+}
+
+[site, grownSite, { ...grownSite, instances: 396, targets: 765, requestsPerSecond: 2_640 }].forEach(measure);
