--- a/test/routing/floor.test.ts
+++ b/test/routing/floor.test.ts
@@ -49,52 +49,56 @@
     return { taken, healthy: able.length - taken };
 }
 
-it("guards against a coordinator that ejects below the floor on any evidence, lists and decisions in force", async () => {
-    let ejections = 0;
-    await fc.assert(
-        fc.asyncProperty(fc.array(step, { minLength: 5, maxLength: 30 }), async steps => {
-            const clock = createVirtualClock();
-            let targets: Seen[] = [];
-            const coordinator = createEjectionCoordinator({
-                service,
-                clock,
-                random: createRandomSource(1),
-                targets: () => targets,
-                policy: { floor },
-            });
-            for (const { gapMs, instance, rows, inForce, leaving, cold } of steps) {
-                await clock.advance(gapMs);
-                targets = Array.from({ length: targetCount }, (_, index) => {
-                    const id = `target-${index}`;
-                    return { id, leaving: leaving.includes(id), cold: cold.includes(id) };
-                });
-                const before = coordinator.report({
-                    incarnation: `entry-${instance}`,
-                    domain: ["a", "b", "c"][instance % 3]!,
-                    service,
-                    intervalMs: 500,
-                    targets: rows as never,
-                    inForce: inForce as never,
-                });
-                // Decisions are renewed at most every 100 ms, so the list that they fitted may be older.
-                await clock.advance(101);
-                const after = coordinator.report({
-                    incarnation: "entry-9",
-                    domain: "a",
+it(
+    "guards against a coordinator that ejects below the floor on any evidence, lists and decisions in force",
+    async () => {
+        let ejections = 0;
+        await fc.assert(
+            fc.asyncProperty(fc.array(step, { minLength: 5, maxLength: 30 }), async steps => {
+                const clock = createVirtualClock();
+                let targets: Seen[] = [];
+                const coordinator = createEjectionCoordinator({
                     service,
-                    intervalMs: 500,
-                    targets: [],
-                    inForce: [],
+                    clock,
+                    random: createRandomSource(1),
+                    targets: () => targets,
+                    policy: { floor },
                 });
-                const { taken, healthy } = capacity(targets, new Set(after.decisions.map(({ target }) => target)));
-                ejections += before.decisions.length;
-                expect(taken === 0 || healthy >= Math.ceil(floor * targetCount)).toBe(true);
-            }
-        }),
-        { numRuns: 150, seed: 20_261 },
-    );
-    expect(ejections).toBeGreaterThan(100);
-}, 120_000);
+                for (const { gapMs, instance, rows, inForce, leaving, cold } of steps) {
+                    await clock.advance(gapMs);
+                    targets = Array.from({ length: targetCount }, (_, index) => {
+                        const id = `target-${index}`;
+                        return { id, leaving: leaving.includes(id), cold: cold.includes(id) };
+                    });
+                    const before = coordinator.report({
+                        incarnation: `entry-${instance}`,
+                        domain: ["a", "b", "c"][instance % 3]!,
+                        service,
+                        intervalMs: 500,
+                        targets: rows as never,
+                        inForce: inForce as never,
+                    });
+                    // Decisions are renewed at most every 100 ms, so the list that they fitted may be older.
+                    await clock.advance(101);
+                    const after = coordinator.report({
+                        incarnation: "entry-9",
+                        domain: "a",
+                        service,
+                        intervalMs: 500,
+                        targets: [],
+                        inForce: [],
+                    });
+                    const { taken, healthy } = capacity(targets, new Set(after.decisions.map(({ target }) => target)));
+                    ejections += before.decisions.length;
+                    expect(taken === 0 || healthy >= Math.ceil(floor * targetCount)).toBe(true);
+                }
+            }),
+            { numRuns: 150, seed: 20_261 },
+        );
+        expect(ejections).toBeGreaterThan(100);
+    },
+    120_000,
+);
 
 it("guards against an instance that ejects below the floor on its own evidence or on a coordinator's word", async () => {
     const outcomes = ["completed", "failed", "stalled", "reset", "truncated", "connect-failed"] as const;
