Read packed datagrams and late attempts through one function each

The two decoders of msgpack datagrams shared their guard, the two changes of a digest's format digit theirs, and the timers of late attempts each checked whether an answer had begun. The tests of the relays build their digests with one function; assertions unchanged.

--- a/packages/gateway/src/attempt-run.ts
+++ b/packages/gateway/src/attempt-run.ts
@@ -158,43 +158,38 @@
     }
 
     function startLateTimer(attempt: Attempt): void {
-        startTimer(options.lateAfterMs, () => {
-            if (isWaitingFor(attempt)) {
-                noteLateness(attempt);
-                attemptBeside(attempt);
-            }
+        startTimer(attempt, options.lateAfterMs, () => {
+            noteLateness(attempt);
+            attemptBeside(attempt);
         });
     }
 
-    function startTimer(delayMs: number, callback: () => void): void {
+    /** Calls back after a delay, unless an answer of the attempt has begun by then. */
+    function startTimer(attempt: Attempt, delayMs: number, callback: () => void): void {
         const timer = setTimeout(() => {
             lateTimers.delete(timer);
-            callback();
+            if (!settled && running.has(attempt) && !attempt.hasHead) {
+                callback();
+            }
         }, delayMs);
         lateTimers.add(timer);
     }
 
-    function isWaitingFor(attempt: Attempt): boolean {
-        return !settled && running.has(attempt) && !attempt.hasHead;
-    }
-
     /** Returns the time in milliseconds that is left until the target's queue no longer explains a missing answer. */
-    function explainedMs(attempt: Attempt, afterMs: number): number {
+    function msUntilLate(attempt: Attempt): number {
         const elapsedMs = now() - (attempt.sentAt ?? now());
-        return afterMs + explainedWaitMs(parts.book.utilisation(attempt.target), options.usualMs) - elapsedMs;
+        const explainedMs = explainedWaitMs(parts.book.utilisation(attempt.target), options.usualMs);
+        const remainingMs = options.lateAfterMs + explainedMs - elapsedMs;
+        return remainingMs <= timerSlackMs ? 0 : remainingMs;
     }
 
     function noteLateness(attempt: Attempt): void {
-        const remainingMs = explainedMs(attempt, options.lateAfterMs);
-        if (remainingMs <= timerSlackMs) {
+        const remainingMs = msUntilLate(attempt);
+        if (remainingMs === 0) {
             attempt.markUnanswered(outcome.late);
             return;
         }
-        startTimer(remainingMs, () => {
-            if (isWaitingFor(attempt)) {
-                noteLateness(attempt);
-            }
-        });
+        startTimer(attempt, remainingMs, () => noteLateness(attempt));
     }
 
     function attemptBeside(late: Attempt): void {
@@ -263,7 +258,7 @@
     }
 
     function timeOut(): void {
-        [...running].filter(attempt => explainedMs(attempt, options.lateAfterMs) <= timerSlackMs)
+        [...running].filter(attempt => msUntilLate(attempt) === 0)
             .forEach(attempt => attempt.markUnanswered(outcome.timedOut));
         failWith("timed_out", "the time is over");
     }
--- a/packages/mesh/src/bundle.ts
+++ b/packages/mesh/src/bundle.ts
@@ -2,10 +2,11 @@
  * Datagrams in which a relay sends several digests on.
  */
 
-import { decode, encode } from "@msgpack/msgpack";
+import { encode } from "@msgpack/msgpack";
 import { deflateRawSync, inflateRawSync } from "node:zlib";
 import { readDigest } from "./digest";
 import type { Digest } from "./digest";
+import { decodePacked } from "./packed-datagram";
 
 /** Digests that travel together. */
 export interface Bundle {
@@ -50,20 +51,10 @@
 
 /** Decodes a datagram; undefined when it is no bundle. */
 export function decodeBundle(bytes: Uint8Array): Bundle | undefined {
-    try {
-        return readBundle(decode(bytes));
-    }
-    catch {
-        // The receiver counts datagrams of no known kind.
-        return undefined;
-    }
+    return decodePacked(bytes, bundleFormat, readBundle);
 }
 
-function readBundle(fields: unknown): Bundle | undefined {
-    if (!Array.isArray(fields) || fields[0] !== bundleFormat) {
-        return undefined;
-    }
-    const [, passOn, deflated] = fields as unknown[];
+function readBundle([, passOn, deflated]: readonly unknown[]): Bundle | undefined {
     if (typeof passOn !== "boolean" || !(deflated instanceof Uint8Array)) {
         return undefined;
     }
--- a/packages/mesh/src/digest.ts
+++ b/packages/mesh/src/digest.ts
@@ -71,6 +71,7 @@
 const digitZero = "0".charCodeAt(0);
 /** Parts into which totals are rounded; they are fractions where requests earn a part of a further attempt. */
 const totalParts = 1_000;
+
 /** Encodes a digest as an array, since field names would be half of each datagram. */
 export function encodeDigest(digest: Digest): Buffer {
     const furtherAttempts = digest.furtherAttempts
@@ -97,19 +98,20 @@
 
 /** Returns a digest that asks its receiver to pass it on to all instances. */
 export function toRelayed(digest: Buffer): Buffer {
-    const relayed = Buffer.from(digest);
-    relayed[formatPosition] = digitZero + relayedFormat;
-    return relayed;
+    return withFormat(digest, relayedFormat);
 }
 
 /** Returns the text of a digest to pass on; undefined when the datagram does not ask for it. */
 export function toPassOn(datagram: Buffer): string | undefined {
-    if (datagram[formatPosition] !== digitZero + relayedFormat) {
-        return undefined;
-    }
-    const final = Buffer.from(datagram);
-    final[formatPosition] = digitZero + finalFormat;
-    return final.toString();
+    return datagram[formatPosition] === digitZero + relayedFormat
+        ? withFormat(datagram, finalFormat).toString()
+        : undefined;
+}
+
+function withFormat(digest: Buffer, format: number): Buffer {
+    const changed = Buffer.from(digest);
+    changed[formatPosition] = digitZero + format;
+    return changed;
 }
 
 function parseFields(bytes: Buffer): Result<unknown[], MalformedDigest> {
--- a/packages/mesh/src/pushed-records.ts
+++ b/packages/mesh/src/pushed-records.ts
@@ -4,6 +4,7 @@
 
 import { decode, encode } from "@msgpack/msgpack";
 import { deflateRawSync, inflateRawSync } from "node:zlib";
+import { decodePacked } from "./packed-datagram";
 
 /** Records of a stream that an instance has read from the store. */
 export interface PushedRecords {
@@ -30,20 +31,10 @@
 
 /** Decodes a datagram of records; undefined when it is none. */
 export function decodePushedRecords(bytes: Uint8Array): PushedRecords | undefined {
-    try {
-        return readPushedRecords(decode(bytes));
-    }
-    catch {
-        // The receiver counts datagrams that are neither a digest nor records.
-        return undefined;
-    }
+    return decodePacked(bytes, recordsFormat, readPushedRecords);
 }
 
-function readPushedRecords(fields: unknown): PushedRecords | undefined {
-    if (!Array.isArray(fields) || fields[0] !== recordsFormat) {
-        return undefined;
-    }
-    const [, stream, from, nextOffset, deflated] = fields as unknown[];
+function readPushedRecords([, stream, from, nextOffset, deflated]: readonly unknown[]): PushedRecords | undefined {
     const isValid = typeof stream === "string" && Number.isInteger(from) && Number.isInteger(nextOffset)
         && deflated instanceof Uint8Array;
     if (!isValid) {
--- a/test/mesh/relays.test.ts
+++ b/test/mesh/relays.test.ts
@@ -29,6 +29,28 @@
     });
 });
 
+/** Returns a digest of an instance of domain `a` that has nothing to tell. */
+function digestOf(sender: string, fields: Partial<Digest>): Digest {
+    return {
+        sender,
+        leaving: false,
+        greeting: false,
+        configurationVersion: 1,
+        targetsOffset: 0,
+        targets: [],
+        admitted: [],
+        furtherAttempts: [],
+        instances: [],
+        domain: "a",
+        targetsAgeMs: 0,
+        configurationOffset: 0,
+        configurationAgeMs: 0,
+        linkMbps: 10,
+        sequence: 0,
+        ...fields,
+    };
+}
+
 interface Trial {
     mesh: Mesh;
     /** Addresses of the instances whose news has arrived. */
@@ -123,23 +145,12 @@
         sockets.push(socket);
         await new Promise<void>(resolve => socket.bind(port, sender, resolve));
         const tell = (sequence: number, total: number, incarnation = "x1") => {
-            const digest: Digest = {
-                sender: `${sender}:${port}/${incarnation}`,
-                leaving: false,
-                greeting: false,
-                configurationVersion: 1,
-                targetsOffset: 0,
+            const digest = digestOf(`${sender}:${port}/${incarnation}`, {
                 targets: [{ target: "t-1", outcomes: [["failure", 1]], load: undefined }],
                 admitted: [["taipei", total]],
                 furtherAttempts: [["dossier", total]],
-                instances: [],
-                domain: "a",
-                targetsAgeMs: 0,
-                configurationOffset: 0,
-                configurationAgeMs: 0,
-                linkMbps: 10,
                 sequence,
-            };
+            });
             socket.send(encodeDigest(digest), port, address);
         };
         const { told } = trials[0]!;
@@ -161,23 +172,7 @@
         const socket = createSocket("udp4");
         sockets.push(socket);
         await new Promise<void>(resolve => socket.bind(port, deaf, resolve));
-        const digest: Digest = {
-            sender: `${deaf}:${port}/x1`,
-            leaving: false,
-            greeting: false,
-            configurationVersion: 1,
-            targetsOffset: 0,
-            targets: [],
-            admitted: [],
-            furtherAttempts: [],
-            instances: [],
-            domain: "a",
-            targetsAgeMs: 0,
-            configurationOffset: 0,
-            configurationAgeMs: 0,
-            linkMbps: 1_000,
-            sequence: 0,
-        };
+        const digest = digestOf(`${deaf}:${port}/x1`, { linkMbps: 1_000 });
         const timer = setInterval(() => {
             digest.sequence += 1;
             addresses.forEach(address => socket.send(encodeDigest(digest), port, address));
