Log what distinguishes the causes of a late configuration

An instance with a late configuration left no line that told whether its read had been given up while the answer arrived, took long, or was decoded slowly. records_missing tells when an instance first hears of records that it lacks; records_applied has the time since then and the size, read_replaced the bytes received until then, configuration_in_force the time of decoding; peer_copy_requested is the start of a copy. No decision changes. Result: npx jest test/replication test/users-platform test/gateway: 93 passed.

--- a/packages/gateway/src/configuration-state.ts
+++ b/packages/gateway/src/configuration-state.ts
@@ -33,6 +33,7 @@
                 parts.log.belief("configuration_record_dropped", { source });
                 return;
             }
+            const startedAt = performance.now();
             const decoded = parts.decode(record.value);
             if (decoded.isErr()) {
                 parts.log.fault("configuration_malformed", { source, message: decoded.error.message });
@@ -51,6 +52,8 @@
                 source,
                 routes: routes.length,
                 organisations: organisations.length,
+                bytes: record.value.length,
+                decodeMs: Math.round(performance.now() - startedAt),
             });
             parts.changed(current);
         },
--- a/packages/gateway/src/peer-state.ts
+++ b/packages/gateway/src/peer-state.ts
@@ -115,11 +115,13 @@
                 return;
             }
             busyUntil.set(name, now + answerTimeoutMs + pauseMs);
+            parts.log.belief("peer_copy_requested", { stream: name, peer: peer.address });
             const { host } = splitAddress(peer.address);
             void fetchCopy(`${host}:${parts.peerPort}`, name).then(copy => {
                 busyUntil.set(name, parts.clock.now() + pauseMs);
                 if (copy === undefined) {
-                    parts.log.belief("peer_copy_failed", { stream: name, peer: peer.address });
+                    const ms = Math.round(parts.clock.now() - now);
+                    parts.log.belief("peer_copy_failed", { stream: name, peer: peer.address, ms });
                     return;
                 }
                 parts.apply(name, copy, peer);
--- a/packages/replication/src/record-store.ts
+++ b/packages/replication/src/record-store.ts
@@ -45,12 +45,13 @@
 export interface RecordStore {
     /** Returns the newest record of each key. Records written meanwhile come again with the following read. */
     newest(stream: Stream, signal: AbortSignal): Promise<Result<RecordBatch, StoreFailure>>;
-    /** Waits up to `waitMs` for records from an offset on. */
+    /** Waits up to `waitMs` for records from an offset on; `received` is called with the size in bytes of each part of the answer. */
     read(
         stream: Stream,
         offset: number,
         waitMs: number,
         signal: AbortSignal,
+        received?: (bytes: number) => void,
     ): Promise<Result<RecordBatch, StoreFailure>>;
     /** Writes the newest record of a key. */
     put(stream: Stream, record: KeyedRecord, signal: AbortSignal): Promise<Result<void, StoreFailure>>;
--- a/packages/replication/src/stream-follower.ts
+++ b/packages/replication/src/stream-follower.ts
@@ -90,6 +90,18 @@
 const backoffSpread = 0.3;
 const pauseSpread = 0.15;
 
+/** A call to the store that is under way. */
+interface StoreCall {
+    abort: AbortController;
+    /** Monotonic time in milliseconds. */
+    startedAt: number;
+    receivedBytes: number;
+}
+
+function sizeOf(records: readonly KeyedRecord[]): number {
+    return records.reduce((sum, { value }) => sum + (value?.length ?? 0), 0);
+}
+
 /** Creates a follower; it reads the newest records first. */
 export function createStreamFollower(options: StreamFollowerOptions): StreamFollower {
     const { store, stream, clock, log } = options;
@@ -99,9 +111,11 @@
     let confirmedAt = -Infinity;
     let pollAfterMs = maxPollAfterMs;
     let failures = 0;
-    let call: AbortController | undefined;
-    let doubted: AbortController | undefined;
+    let call: StoreCall | undefined;
+    let doubted: StoreCall | undefined;
     let pollPending = false;
+    /** Time at which this instance first heard of records that it lacks. */
+    let behindSince: number | undefined;
 
     const waits: Record<ReaderRole, () => number> = {
         first: () => firstReaderWaitMs,
@@ -124,15 +138,17 @@
     }
 
     async function step(signal: AbortSignal): Promise<StoreFailure | undefined> {
-        const current = new AbortController();
+        const current: StoreCall = { abort: new AbortController(), startedAt: clock.now(), receivedBytes: 0 };
         call = current;
-        const stop = () => current.abort();
+        const stop = () => current.abort.abort();
         signal.addEventListener("abort", stop, { once: true });
         const from = nextOffset;
         const isWhole = from < 0;
         const result = isWhole
-            ? await store.newest(stream, current.signal)
-            : await store.read(stream, from, failures > 0 ? 0 : drawWaitMs(), current.signal);
+            ? await store.newest(stream, current.abort.signal)
+            : await store.read(stream, from, failures > 0 ? 0 : drawWaitMs(), current.abort.signal, bytes => {
+                current.receivedBytes += bytes;
+            });
         signal.removeEventListener("abort", stop);
         call = undefined;
         if (result.isErr()) {
@@ -172,12 +188,35 @@
 
     function applyBatch({ records, nextOffset: next }: RecordBatch, isWhole: boolean, source: string): void {
         if (records.length > 0 || isWhole) {
-            log.belief("records_applied", { stream, source, records: records.length, from: nextOffset, to: next });
+            log.belief("records_applied", {
+                stream,
+                source,
+                records: records.length,
+                bytes: sizeOf(records),
+                from: nextOffset,
+                to: next,
+                behindMs: behindSince === undefined ? undefined : Math.round(clock.now() - behindSince),
+            });
+            behindSince = undefined;
             options.apply(records, isWhole, source);
         }
         nextOffset = next;
     }
 
+    function noteBehind(): void {
+        if (behindSince === undefined) {
+            behindSince = clock.now();
+            log.belief("records_missing", { stream, applied: nextOffset, ...describeCall() });
+        }
+    }
+
+    /** Returns what is known of the call that is under way, for logs. */
+    function describeCall(): { callMs?: number; receivedBytes?: number; } {
+        return call === undefined
+            ? {}
+            : { callMs: Math.round(clock.now() - call.startedAt), receivedBytes: call.receivedBytes };
+    }
+
     /** Returns the time in milliseconds for which this instance need not call the store. */
     function msUntilCall(): number {
         const isIdle = nextOffset >= 0 && failures === 0 && roleOf() === readerRole.none;
@@ -196,12 +235,12 @@
         }
     }
 
-    function replaceRead(slow: AbortController): void {
+    function replaceRead(slow: StoreCall): void {
         doubted = slow;
         void clock.sleep(behindMs).then(() => {
             if (call === slow) {
-                log.belief("read_replaced", { stream, applied: nextOffset, silentMs: behindMs });
-                slow.abort();
+                log.belief("read_replaced", { stream, applied: nextOffset, waitedMs: behindMs, ...describeCall() });
+                slow.abort.abort();
             }
         });
     }
@@ -266,6 +305,7 @@
             if (nextOffset < 0) {
                 return;
             }
+            noteBehind();
             if (call === undefined) {
                 pollIfStillBehind();
             }
