Refuse entries of targets whose fields are out of range

Here: the address was checked for its form only, and a connection to port 70000 throws at once: in the first attempt of a request its caller's connection was closed, in a further attempt the exception ended the process. An entry with a start in the far future hid the living target at its address, and one with 1e300 slots drew all requests of its service. Deep nesting was harmless: it is parsed without recursion, and only named fields are read (test). Class of the fault: input of another writer checked for its form, not for its range. Change: ports, addresses, counts, cold time and start have ranges, ids must be printable; a state or a type of a resource is looked up among the known ones only (the type 'constructor' threw).

--- a/test/users-platform/codecs.test.ts
+++ b/test/users-platform/codecs.test.ts
@@ -38,6 +38,7 @@
             resource("Tenants", "o", { ApiKeys: ["k"], Priority: 0, RatePerS: 45, Burst: 50 }),
             resource("Limits", "", { MaxHeaderBytes: 1, MaxBodyBytes: 2, HeaderTimeoutMs: 3, IdleTimeoutMs: 4 }),
             resource("Later", "x", {}),
+            resource("constructor", "y", {}),
         ]))._unsafeUnwrap();
         expect(decoded.version).toBe(12);
         expect(decoded.routes[0]).toMatchObject({
@@ -97,10 +98,37 @@
         ["a field of another type", { Sequence: "4" }],
         ["an unknown state", { State: "resting" }],
         ["an address without a port", { Address: "10.0.0.9" }],
+        // A connection to such a port throws at once, which ended the process when it was made after a failed attempt.
+        ["a port out of range", { Address: "10.0.0.9:70000" }],
+        ["text behind the port", { Address: "10.0.0.9:8080:1" }],
+        ["port 0", { Address: "10.0.0.9:0" }],
+        ["an address out of range", { Address: "10.0.0.999:8080" }],
+        ["a state that is a member of every object", { State: "constructor" }],
+        ["more slots than can be counted", { Slots: 1e300 }],
+        ["a part of a slot", { Slots: 0.5 }],
+        ["a sequence that cannot be counted on", { Sequence: 2 ** 60 }],
+        ["an endless cold start", { ColdRemainingMs: 1e300 }],
+        // Would hide the living target at the same address, as an older one.
+        ["a start in a far future", { born: 1e15 }],
     ])("with %s is refused", (_, fields) => {
         expect(decodeTarget("i-1", Buffer.from(JSON.stringify({ ...entry, ...fields }))).isErr()).toBe(true);
     });
 
+    // The id goes to the target in a header.
+    test.each(["", "i 1", "i\r\nx: y", "i".repeat(300)])("under the id %j is refused", id => {
+        expect(decodeTarget(id, Buffer.from(JSON.stringify(entry))).isErr()).toBe(true);
+    });
+
+    test("that is deeply nested costs the others nothing", () => {
+        const depth = 100_000;
+        const nested = `${"[".repeat(depth)}${"]".repeat(depth)}`;
+        const text = JSON.stringify(entry);
+        const decoded = decodeTarget("i-1", Buffer.from(`${text.slice(0, -1)},"Extra":${nested}}`));
+        expect(decoded._unsafeUnwrap().id).toBe("i-1");
+        expect(decodeTarget("i-2", Buffer.from(nested)).isErr()).toBe(true);
+        expect(decodeTarget("i-3", Buffer.from(`${text.slice(0, -1)},"Slots":1e999}`)).isErr()).toBe(true);
+    });
+
     test("that cannot be read is refused", () => {
         expect(decodeTarget("i-1", Buffer.from([0xff, 0x00])).isErr()).toBe(true);
     });
