Take a target whose address cannot be connected to for unreachable

Cause: Node.js throws at once for a port out of range; in a further attempt nothing caught it. Seen in a trial with an entry at port 70000 beside a target that resets: callers' connections closed without an answer (status 0 in six of twelve calls), and an uncaught RangeError from the further attempt, which ends the process. Result: the new test threw before and passes.

--- a/packages/upstream/src/target-connection.ts
+++ b/packages/upstream/src/target-connection.ts
@@ -3,7 +3,7 @@
  */
 
 import { Failure } from "@trefoilladder/failures";
-import { connect } from "node:net";
+import { Socket } from "node:net";
 import { createResponseParser } from "./response-parser";
 import type { ResponseHead } from "./response-parser";
 
@@ -106,7 +106,7 @@
 
 /** Opens a connection. */
 export function createTargetConnection(options: ConnectionOptions): TargetConnection {
-    const socket = connect({ host: options.address, port: options.port, noDelay: true });
+    const socket = new Socket();
     let current: { request: OutgoingRequest; listener: ExchangeListener; } | undefined;
     let connected = false;
     let closed = false;
@@ -195,6 +195,16 @@
         });
     }
 
+    function open(): void {
+        try {
+            socket.connect({ host: options.address, port: options.port, noDelay: true });
+        }
+        catch (error) {
+            // Node.js throws on an address that no socket can have.
+            process.nextTick(() => fail("unreachable", "the address cannot be connected to", error as Error));
+        }
+    }
+
     socket.on("connect", () => {
         connected = true;
         clearTimeout(connectTimer);
@@ -222,6 +232,8 @@
     socket.on("error", error => fail(connected ? "broken" : "unreachable", "the connection failed", error));
     socket.on("close", () => fail(connected ? "broken" : "unreachable", "the connection closed"));
 
+    open();
+
     return {
         exchange(request, listener) {
             current = { request, listener };
--- a/test/upstream/connection-pool.test.ts
+++ b/test/upstream/connection-pool.test.ts
@@ -105,4 +105,10 @@
         expect(await exchange(pool, target.port, "a")).toMatchObject({ failure: "broken" });
         expect(await exchange(pool, 1, "a")).toMatchObject({ failure: "unreachable" });
     });
+
+    // Guards against the end of the process when a target's address has a port that no socket can have.
+    test("are unreachable at a port out of range", async () => {
+        await start(socket => socket.resetAndDestroy());
+        expect(await exchange(pool, 70_000, "a")).toMatchObject({ failure: "unreachable" });
+    });
 });
