Believe no answer without an id on a kept connection

Here: a repeated refusal with the id of its request is skipped (shown by a test that passes on the old code as well), but one without an id was taken for the answer to the current request: a 503 with the mark or a 421 made the gateway promise 'not run' or send the request to a second target. Change: on a connection that has carried other requests, an answer without an id is attributed to nobody; the request has an unknown outcome. On a new connection it can only belong to the current request.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -134,7 +134,7 @@
         skipped: options.skipped,
         head(received) {
             head = received;
-            kind = readResponseKind(received, names);
+            kind = readResponseKind(received, names, exchange.isFresh);
             const load = readLoad(received, names);
             if (load !== undefined) {
                 book.reportLoad(target.id, load);
--- a/packages/gateway/src/response-check.ts
+++ b/packages/gateway/src/response-check.ts
@@ -14,7 +14,7 @@
     otherTarget: "other_target",
     /** The target ran the request and failed. */
     failed: "failed",
-    /** A success that cannot be the target's own response. */
+    /** A response that cannot be attributed to the target and the request. */
     unusable: "unusable",
 } as const;
 
@@ -29,8 +29,15 @@
     return promises.has(status);
 }
 
-/** Returns what the head of a response means. */
-export function readResponseKind(head: ResponseHead, names: HeaderNames): ResponseKind {
+/**
+ * Returns what the head of a response means. On a connection that has carried other requests a response without an id may be a
+ * repetition of an earlier one.
+ */
+export function readResponseKind(head: ResponseHead, names: HeaderNames, isFresh: boolean): ResponseKind {
+    const hasId = headerOf(head, names.requestId) !== undefined;
+    if (!hasId && !isFresh) {
+        return responseKind.unusable;
+    }
     if (head.status === 421) {
         return responseKind.otherTarget;
     }
@@ -43,7 +50,7 @@
     if (head.status >= 300) {
         return responseKind.usable;
     }
-    const isOwn = headerOf(head, names.signature) !== undefined && headerOf(head, names.requestId) !== undefined;
+    const isOwn = headerOf(head, names.signature) !== undefined && hasId;
     const isEncoded = headerOf(head, "content-encoding") !== undefined;
     return isOwn && !isEncoded ? responseKind.usable : responseKind.unusable;
 }
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -133,6 +133,31 @@
     });
 
     // A 503 without the mark may have run; passing the status on would promise that it has not.
+    // Guards against a promise for a request that runs: a faulty target wrote an earlier refusal once more on a kept connection.
+    test.each([
+        ["a refusal", "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1"],
+        ["a refusal as another target", "HTTP/1.1 421 Misdirected Request"],
+    ])("that writes %s without an id on a kept connection is not believed", async (_, refusal) => {
+        await start([
+            (socket, request, id) =>
+                void socket.write(request === 1 ? responseText(id) : `${refusal}\r\nContent-Length: 0\r\n\r\n`),
+        ]);
+        expect((await callFirst(filing)).status).toBe(200);
+        expect((await callFirst(filing)).status).toBe(502);
+        expect(fleet.targets[0]!.connections()).toBe(1);
+        expect(arrivals()).toBe(2);
+    });
+
+    test("that writes the refusal of an earlier request on a kept connection is waited for", async () => {
+        const refusal = "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nRequest-Id: r1\r\nContent-Length: 0\r\n\r\n";
+        await start([
+            (socket, request, id) => void socket.write(request === 1 ? responseText(id) : refusal + responseText(id)),
+        ]);
+        expect((await callFirst({ ...filing, id: "r1" })).status).toBe(200);
+        expect((await callFirst({ ...filing, id: "r2" })).status).toBe(200);
+        expect(arrivals()).toBe(2);
+    });
+
     test("that answers 503 without the mark is not said to have not run", async () => {
         await start([(socket, _, id) => void socket.write(responseText(id).replace("200 OK", "503 Busy"))]);
         expect((await callFirst(filing)).status).toBe(502);
