Give up answers that have no end

Here the library bounds the head only: interim responses, responses to an earlier request, the line of a chunk size, the line behind a chunk and trailers were read, and in part kept, for as long as they came; the body of an error or of an answer without a signature was kept until the deadline; a success was streamed for as long as the caller stayed. Change: a line of a chunked body has 16 KB, trailers 200 fields, what comes before the response 2 MB and 16 heads; a body that is not handed on is kept up to the size from which others are streamed, and its head is not believed then; a stream ends 1 s after the caller's deadline, visibly incomplete and with its log line. Result: 'fail on ... without end' hung the tests before (timeout of 120 s), the four tests of the gateway failed (504 at the deadline; 30 s); all pass.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -125,6 +125,14 @@
         options.done({ kind: "streaming", head: response, attach: started.attach });
     }
 
+    /** Ends an attempt whose answer is not handed on and has no end; what its head says is not believed. */
+    function giveUp(): void {
+        release(outcome.failure);
+        chunks = [];
+        exchange.cancel();
+        options.done({ kind: "ended", end: attemptEnd.unknown, why: "answer_too_long" });
+    }
+
     book.begin(target.id);
     const exchange: Exchange = parts.pool.exchange(target, options.maxIdleMs, options.request, {
         sent() {
@@ -147,9 +155,14 @@
                 return;
             }
             chunks.push(chunk);
-            if (size > options.keptBytes && kind === responseKind.usable && head !== undefined) {
+            if (size <= options.keptBytes || settled || head === undefined) {
+                return;
+            }
+            if (kind === responseKind.usable) {
                 beginStreaming(head);
+                return;
             }
+            giveUp();
         },
         end() {
             if (settled || head === undefined) {
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -54,6 +54,8 @@
 const keptResponseBytes = 192 * 1024;
 /** Time in milliseconds before the end at which an answer of this instance's own must be on its way. */
 const answerMarginMs = 15;
+/** Time in milliseconds after the caller's deadline for which a response is still streamed; a target's answer may have no end. */
+const lateStreamMs = 1_000;
 const keyIdDigits = 16;
 /** Refusals for want of configuration: a restarted instance has one within about this many seconds. */
 const configurationRetrySeconds = 0.4;
@@ -336,12 +338,19 @@
             recordAnswered(admitted, run, result.head);
             return;
         }
+        const remainingMs = admitted.arrivedAt + admitted.request.deadlineMs - now();
+        const brokenOff = () => {
+            log.request(admitted.request.id, "response_broken_off", summary(admitted, run, result.head.status));
+            parts.metrics.recordAnswer(labels(admitted, "broken_off"), ageOf(admitted));
+        };
+        const timer = setTimeout(() => {
+            brokenOff();
+            outgoing.destroy();
+        }, Math.max(0, remainingMs) + lateStreamMs);
+        outgoing.on("close", () => clearTimeout(timer));
         streamResponse(outgoing, { attempt, result, close: parts.isStopping() }, {
             ended: () => recordAnswered(admitted, run, result.head),
-            brokenOff() {
-                log.request(admitted.request.id, "response_broken_off", summary(admitted, run, result.head.status));
-                parts.metrics.recordAnswer(labels(admitted, "broken_off"), ageOf(admitted));
-            },
+            brokenOff,
         });
     }
 
--- a/packages/upstream/src/response-parser.ts
+++ b/packages/upstream/src/response-parser.ts
@@ -40,10 +40,17 @@
 /** Size of a chunk in hexadecimal, with extensions that are ignored. */
 const chunkSizeLine = /^[0-9a-fA-F]{1,8}\s*(?:;.*)?$/;
 
+/** Longest line of a chunked body in bytes, and most names and values behind it; the library bounds the head only. */
+const maxLineBytes = 16_384;
+const maxTrailers = 200;
+
 /** The members of the library's parser that its type declarations leave out. */
 interface ParserInternals {
     offset: number;
     end: number;
+    /** The beginning of a line whose end has not arrived. */
+    line: string;
+    trailers: string[];
     consumeLine(): string | undefined;
     BODY_CHUNKHEAD(): void;
     body_bytes: number | null;
@@ -104,10 +111,17 @@
         }
     };
 
+    /** Returns an error when the parser keeps more of a body's framing than an answer needs. */
+    function checkFraming(): Error | undefined {
+        const isTooLong = internals.isChunked && internals.line.length > maxLineBytes
+            || internals.trailers.length > maxTrailers;
+        return isTooLong ? new Error("a line or the trailers of a chunked body are too long") : undefined;
+    }
+
     return {
         execute(chunk) {
             const result: unknown = parser.execute(chunk);
-            return refused ?? (result instanceof Error ? result : undefined);
+            return refused ?? (result instanceof Error ? result : checkFraming());
         },
         finish() {
             const result: unknown = parser.finish();
--- a/packages/upstream/src/target-connection.ts
+++ b/packages/upstream/src/target-connection.ts
@@ -86,6 +86,10 @@
 /** Part of an announced idle time that is not used, in milliseconds. */
 const idleMarginMs = 600;
 
+/** Bytes and heads that may come before the response to a request: a late response to an earlier one, and interim ones. */
+const maxBytesBeforeResponse = 2 * 1024 * 1024;
+const maxHeadsBeforeResponse = 16;
+
 /** Returns a header of a response. */
 export function headerOf(head: ResponseHead, name: string): string | undefined {
     for (let index = 0; index < head.headers.length; index += 2) {
@@ -114,6 +118,9 @@
     let idleLimitMs = 0;
     let bodySent = false;
     let skipping = false;
+    let hasResponse = false;
+    let bytesBeforeResponse = 0;
+    let headsBeforeResponse = 0;
 
     const connectTimer = setTimeout(() => fail("unreachable", "the connection timed out"), options.connectTimeoutMs);
 
@@ -157,11 +164,13 @@
             const answeredId = headerOf(head, options.requestIdHeader);
             skipping = head.status < 200 || answeredId !== undefined && answeredId !== current.request.id;
             if (skipping) {
+                headsBeforeResponse += 1;
                 if (head.status >= 200) {
                     current.listener.skipped(answeredId ?? "");
                 }
                 return false;
             }
+            hasResponse = true;
             idleLimitMs = idleLimitOf(head);
             current.listener.head(head);
             return current?.request.method === "HEAD";
@@ -195,6 +204,16 @@
         });
     }
 
+    /** Returns an error when more has come before the response than a late one to an earlier request can be. */
+    function checkBeforeResponse(chunk: Buffer): Error | undefined {
+        if (hasResponse) {
+            return undefined;
+        }
+        bytesBeforeResponse += chunk.length;
+        const isEndless = bytesBeforeResponse > maxBytesBeforeResponse || headsBeforeResponse > maxHeadsBeforeResponse;
+        return isEndless ? new Error("other bytes come in place of the response") : undefined;
+    }
+
     function open(): void {
         try {
             socket.connect({ host: options.address, port: options.port, noDelay: true });
@@ -217,7 +236,7 @@
             destroy();
             return;
         }
-        const error = parser.execute(chunk);
+        const error = parser.execute(chunk) ?? checkBeforeResponse(chunk);
         if (error !== undefined && !closed) {
             fail("garbled", "the target sent no valid response", error);
         }
@@ -237,6 +256,9 @@
     return {
         exchange(request, listener) {
             current = { request, listener };
+            hasResponse = false;
+            bytesBeforeResponse = 0;
+            headsBeforeResponse = 0;
             idleSince = undefined;
             // The listener's owner needs the exchange before its first call.
             process.nextTick(() => {
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -158,6 +158,48 @@
         expect(arrivals()).toBe(2);
     });
 
+    // Guards against an instance that keeps what a target in trouble writes without end, until the deadline.
+    test.each([
+        ["an error", "HTTP/1.1 500 Oops", true],
+        ["a refusal", "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1", true],
+        ["an answer without a signature", "HTTP/1.1 200 OK", false],
+    ])("that writes %s without end is given up", async (_, line, hasSignature) => {
+        let isClosed = false;
+        const endless: Answer = (socket, __, id) => {
+            socket.on("close", () => isClosed = true);
+            const signature = hasSignature ? "Response-Signature: s\r\n" : "";
+            socket.write(`${line}\r\nRequest-Id: ${id}\r\n${signature}Transfer-Encoding: chunked\r\n\r\n`);
+            const timer = setInterval(() => socket.write(`4000\r\n${"x".repeat(0x4000)}\r\n`), 5);
+            socket.on("close", () => clearInterval(timer));
+        };
+        await start([endless], {
+            configuration: configuration({ routes: [route({ pathPrefix: "/filing/", idempotent: false })] }),
+        });
+        const result = await callFirst({ ...filing, deadlineMs: 3_000 });
+        expect(result.status).toBe(502);
+        expect(result.ms).toBeLessThan(1_500);
+        await until(() => isClosed);
+    });
+
+    test("that streams a success without end is broken off after the caller's deadline", async () => {
+        let isClosed = false;
+        const endless: Answer = (socket, _, id) => {
+            socket.write(
+                `HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nResponse-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n`,
+            );
+            const timer = setInterval(() => socket.write(`4000\r\n${"x".repeat(0x4000)}\r\n`), 5);
+            socket.on("close", () => {
+                isClosed = true;
+                clearInterval(timer);
+            });
+        };
+        await start([endless]);
+        const result = await callFirst({ deadlineMs: 600 });
+        expect(result).toMatchObject({ status: 200, complete: false });
+        expect(result.ms).toBeLessThan(2_500);
+        await until(() => isClosed);
+    });
+
     test("that answers 503 without the mark is not said to have not run", async () => {
         await start([(socket, _, id) => void socket.write(responseText(id).replace("200 OK", "503 Busy"))]);
         expect((await callFirst(filing)).status).toBe(502);
--- a/test/upstream/connection-pool.test.ts
+++ b/test/upstream/connection-pool.test.ts
@@ -17,6 +17,24 @@
     await target.close();
 });
 
+/** Most bytes that an endless answer may cost in these tests; what the sockets hold in between is some hundred kilobytes. */
+const maxEndlessBytes = 8_000_000;
+
+/** Writes a text again and again until the connection is closed; `count` gets the bytes of each write. */
+function writeEndlessly(socket: Socket, text: string, count: (bytes: number) => void): void {
+    const piece = text.repeat(Math.ceil(16_000 / text.length));
+    const writeMore = () => {
+        while (!socket.destroyed) {
+            count(piece.length);
+            if (!socket.write(piece)) {
+                socket.once("drain", writeMore);
+                return;
+            }
+        }
+    };
+    writeMore();
+}
+
 describe("connections to targets", () => {
     test("carry further requests while they are kept", async () => {
         await start((socket, _, id) => socket.write(responseText(id)));
@@ -85,6 +103,32 @@
         expect(await exchange(pool, target.port, "a")).toMatchObject({ failure });
     });
 
+    // Guards against a target in trouble that writes without end: the memory and the processor of an instance must not follow.
+    test.each([
+        ["no response", "", "x"],
+        ["a header", "HTTP/1.1 200 OK\r\nX: ", "x"],
+        ["headers", "HTTP/1.1 200 OK\r\n", "X: y\r\n"],
+        ["empty lines", "", "\r\n"],
+        ["interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"],
+        ["responses to an earlier request", "", responseText("earlier")],
+        [
+            "the body of an earlier request",
+            "HTTP/1.1 200 OK\r\nRequest-Id: earlier\r\nContent-Length: 99999999999\r\n\r\n",
+            "x",
+        ],
+        ["a chunk size", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;x=", "x"],
+        ["a line behind a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx", "x"],
+        ["trailers", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X: y\r\n"],
+    ])("fail on %s without end", async (_, beginning, repeated) => {
+        let written = 0;
+        await start(socket => {
+            socket.write(beginning);
+            writeEndlessly(socket, repeated, bytes => written += bytes);
+        });
+        expect(await exchange(pool, target.port, "a")).toMatchObject({ failure: "garbled" });
+        expect(written).toBeLessThan(maxEndlessBytes);
+    });
+
     test("fail when a response with a length breaks off", async () => {
         await start((socket, _, id) => socket.end(responseText(id, "whole").slice(0, -2)));
         expect(await exchange(pool, target.port, "a")).toMatchObject({ failure: "broken" });
