--- a/test/soak/soak-fleet.ts
+++ b/test/soak/soak-fleet.ts
@@ -31,8 +31,8 @@
     targets: SoakTarget[];
     gateways: SoakGateway[];
     callersPort: number;
-    /** Publishes a configuration with these keys. */
-    publish(keys: readonly string[]): void;
+    /** Publishes a configuration with these keys, and with further routes that nobody asks for. */
+    publish(keys: readonly string[], furtherRoutes?: number): void;
     /**
      * Waits for the end of a process that was told to end, and starts its gateway again. Returns false when the process had
      * to be killed because it did not end by itself.
@@ -85,10 +85,14 @@
         store.append(topic, encodeRecord({ key, value: Buffer.from(JSON.stringify(value)) }));
     }
 
-    function publish(keys: readonly string[]): void {
+    function publish(keys: readonly string[], furtherRoutes = 0): void {
         version += 1;
+        const further = Array.from(
+            { length: furtherRoutes },
+            (_, index) => routeResource(`r${version}-${index}`, "safe"),
+        );
         const tenant = { ResourceType: "Tenants", Metadata: { Name: "o" }, Spec: { ApiKeys: keys } };
-        const resources = [routeResource("lookup", "safe"), routeResource("filing", "unsafe"), tenant];
+        const resources = [routeResource("lookup", "safe"), routeResource("filing", "unsafe"), tenant, ...further];
         put("keyed.op", "config", { Version: `r${version}`, Resources: resources });
     }
 
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -23,6 +23,14 @@
     101,
     ...(process.env["SOAK_RELAYED_SEEDS"] ?? "").split(",").filter(text => text !== "").map(Number),
 ];
+/** Routes of a configuration that does not fit one datagram, and the seeds of plays in which such ones are published. */
+const furtherRoutes = 1_500;
+const largeSeeds = [
+    201,
+    ...(process.env["SOAK_LARGE_SEEDS"] ?? "").split(",").filter(text => text !== "").map(Number),
+];
+/** Interval of large configurations, in milliseconds. */
+const largeIntervalMs = 1_500;
 /** Time after which a withdrawn key must not work, in milliseconds. */
 const revokedAfterMs = 5_000;
 
@@ -139,7 +147,15 @@
     }
 }
 
-async function playSeed(seed: number, fleetSizes: SoakSizes): Promise<Promises> {
+/** Publishes one large configuration after the other. */
+async function publishLarge(fleet: SoakFleet, endsAt: number): Promise<void> {
+    while (performance.now() < endsAt) {
+        await delay(largeIntervalMs);
+        fleet.publish(["key-2"], furtherRoutes);
+    }
+}
+
+async function playSeed(seed: number, fleetSizes: SoakSizes, isLarge = false): Promise<Promises> {
     const source = createRandomSource(seed);
     const next = () => source.next();
     const kept: Promises = { runs: new Map(), broken: [], served: 0, revokedAt: Infinity };
@@ -157,12 +173,12 @@
             (await call({ host, port: fleet.callersPort }, { host: "soak.example", key: "key-2" })).status === 200
         );
     }
-    fleet.publish(["key-2"]);
+    fleet.publish(["key-2"], isLarge ? furtherRoutes : 0);
     kept.revokedAt = performance.now();
     const endsAt = performance.now() + lengthMs;
     const callers = Array.from({ length: 3 }, () => sendRequests(fleet, kept, next, endsAt, seed));
     const names = Object.keys(faults);
-    const running: Promise<void>[] = [];
+    const running: Promise<void>[] = isLarge ? [publishLarge(fleet, endsAt)] : [];
     while (performance.now() < endsAt - 2_000) {
         const name = names[Math.floor(next() * names.length)]!;
         running.push(faults[name]!(fleet, count => Math.floor(next() * count), kept));
@@ -208,4 +224,11 @@
         expect(broken).toEqual([]);
         expect(served).toBeGreaterThan(100);
     }, 90_000);
+
+    // Guards against the late configuration of incident inc1 while the instances that hand it on are killed, paused and stopped.
+    test.each(largeSeeds)("keeps its promises with large configurations and seed %d", async seed => {
+        const { broken, served } = await playSeed(seed, relayedSizes, true);
+        expect(broken).toEqual([]);
+        expect(served).toBeGreaterThan(100);
+    }, 90_000);
 });
