--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,13 +3,10 @@
  */
 
 import { createMonotonicClock } from "@trefoilladder/clock";
-import type { Failure } from "@trefoilladder/failures";
 import { createLimitGroup } from "@trefoilladder/limits";
 import { createMesh, splitAddress } from "@trefoilladder/mesh";
 import type { Digest, Peer } from "@trefoilladder/mesh";
 import { createTargetDirectory } from "@trefoilladder/replication";
-import type { RecordStore } from "@trefoilladder/replication";
-import type { ServingConfiguration, TargetRecord } from "@trefoilladder/serving";
 import { createDecisionLog } from "@trefoilladder/telemetry";
 import { createConnectionPool } from "@trefoilladder/upstream";
 import type { Result } from "neverthrow";
@@ -19,10 +16,10 @@
 import { createCallerServer } from "./caller-server";
 import { createConfigurationState } from "./configuration-state";
 import { serveCopies } from "./copy-server";
-import type { HeaderNames } from "./header-names";
 import { createLimitBook } from "./limit-book";
 import { listen } from "./listen";
 import { createMetrics } from "./metrics";
+import type { PlatformPort } from "./platform-port";
 import { registerInstance } from "./registration";
 import { createRequestFlow } from "./request-flow";
 import { createRouteProfiles } from "./route-profile";
@@ -33,18 +30,6 @@
 import { createStoreStreams } from "./store-streams";
 import { createTargetBook } from "./target-book";
 
-/** What the platform's adapter brings. */
-export interface PlatformPort {
-    store: RecordStore;
-    headers: HeaderNames;
-    /** Path of the readiness check. */
-    readinessPath: string;
-    /** Key of the operator's configuration in its stream. */
-    configurationKey: string;
-    decodeConfiguration(bytes: Buffer): Result<ServingConfiguration, Failure>;
-    decodeTarget(id: string, bytes: Buffer): Result<TargetRecord, Failure>;
-}
-
 /** A running gateway process. */
 export interface Gateway {
     /** Puts newer settings in force, as far as a running process can, and logs what it did with them. */
--- /dev/null
+++ b/packages/gateway/src/platform-port.ts
@@ -0,0 +1,17 @@
+import type { Failure } from "@trefoilladder/failures";
+import type { RecordStore } from "@trefoilladder/replication";
+import type { ServingConfiguration, TargetRecord } from "@trefoilladder/serving";
+import type { Result } from "neverthrow";
+import type { HeaderNames } from "./header-names";
+
+/** What the platform's adapter brings. */
+export interface PlatformPort {
+    store: RecordStore;
+    headers: HeaderNames;
+    /** Path of the readiness check. */
+    readinessPath: string;
+    /** Key of the operator's configuration in its stream. */
+    configurationKey: string;
+    decodeConfiguration(bytes: Buffer): Result<ServingConfiguration, Failure>;
+    decodeTarget(id: string, bytes: Buffer): Result<TargetRecord, Failure>;
+}
--- a/packages/gateway/src/store-streams.ts
+++ b/packages/gateway/src/store-streams.ts
@@ -18,9 +18,9 @@
 import type { ConfigurationState } from "./configuration-state";
 import { createCopyClient } from "./copy-client";
 import type { StreamCopy } from "./copy-codec";
-import type { PlatformPort } from "./gateway";
 import { createPeerCopies } from "./peer-copies";
 import type { PeerCopies } from "./peer-copies";
+import type { PlatformPort } from "./platform-port";
 import type { GatewaySettings } from "./settings";
 import { createTargetRecords } from "./target-records";
 
--- a/packages/replication/src/stream-follower.ts
+++ b/packages/replication/src/stream-follower.ts
@@ -1,7 +1,10 @@
 import type { Clock } from "@trefoilladder/clock";
 import type { DecisionLog } from "@trefoilladder/telemetry";
+import { createReadTimes, maxPollAfterMs } from "./read-times";
 import { storeProblem } from "./record-store";
 import type { KeyedRecord, RecordBatch, RecordStore, StoreFailure, Stream } from "./record-store";
+import { createStoreCall } from "./store-call";
+import type { StoreCall } from "./store-call";
 import { readerRole } from "./store-readers";
 import type { ReaderRole } from "./store-readers";
 
@@ -65,50 +68,10 @@
     regained?(): void;
 }
 
-/**
- * Bounds of the wait of one read, in milliseconds. Waits are drawn, and the longer the more instances there are: when the
- * connections of all instances go silent at once, the first read to time out finds it within seconds and the others learn it
- * from its digests.
- */
-const minWaitMs = 2_000;
-const maxWaitMs = 20_000;
-const waitForEachPeerMs = 500;
-/**
- * Bounds of the time in milliseconds since the last confirmation after which an instance that is no reader polls the store.
- * With that call a change is known well within 2 s also when all readers are lost at once.
- */
-const minPollAfterMs = 1_100;
-const maxPollAfterMs = 1_500;
-/** Other instances for each one that is expected to poll early; the others hear of its answer before they poll themselves. */
-const peersPerPoll = 4;
 /** Interval in milliseconds in which an instance that is no reader looks whether it has become one. */
 const roleIntervalMs = 250;
-/**
- * Wait of the first reader's long polls in milliseconds. An empty answer confirms the stream's end to all others, before they
- * would poll themselves.
- */
-const firstReaderWaitMs = 700;
-/** Bounds of the wait of the domains' readers, in milliseconds. The others' digests tell them when a read has gone silent. */
-const minReaderWaitMs = 2_500;
-const maxReaderWaitMs = 4_000;
 /** Time in milliseconds for which a read may be silent while a peer is known to be ahead. */
 const behindMs = 400;
-/** Pauses after failures in milliseconds. */
-const firstBackoffMs = 150;
-const maxBackoffMs = 1_000;
-/** Parts by which pauses differ, so that the calls of all instances spread. */
-const backoffSpread = 0.3;
-const pauseSpread = 0.15;
-
-/** A call to the store that is under way. */
-interface StoreCall {
-    abort: AbortController;
-    /** Monotonic times in milliseconds; `receivedAt` is that of the last part of the answer. */
-    startedAt: number;
-    receivedAt: number;
-    receivedBytes: number;
-}
-
 function sizeOf(records: readonly KeyedRecord[]): number {
     return records.reduce((sum, { value }) => sum + (value?.length ?? 0), 0);
 }
@@ -117,6 +80,7 @@
 export function createStreamFollower(options: StreamFollowerOptions): StreamFollower {
     const { store, stream, clock, log } = options;
     const missingMs = options.missingMs ?? behindMs;
+    const times = createReadTimes({ random: options.random, pauseMs: options.pauseMs });
     const roleOf = options.role ?? (() => readerRole.first);
     let nextOffset = -1;
     let answeredAt = -Infinity;
@@ -129,44 +93,20 @@
     /** Time at which this instance first heard of records that it lacks. */
     let behindSince: number | undefined;
 
-    const waits: Record<ReaderRole, () => number> = {
-        first: () => firstReaderWaitMs,
-        domain: () => minReaderWaitMs + (maxReaderWaitMs - minReaderWaitMs) * options.random(),
-        none: () => 0,
-    };
-
     function drawWaitMs(): number {
-        if (options.role !== undefined && options.peers() > 0) {
-            return Math.round(waits[roleOf()]());
-        }
-        const span = Math.min(maxWaitMs - minWaitMs, waitForEachPeerMs * options.peers());
-        return Math.round(minWaitMs + span * options.random());
-    }
-
-    function drawPauseMs(): number {
-        const backoffMs = Math.min(maxBackoffMs, firstBackoffMs * 2 ** Math.min(10, failures));
-        const [pauseMs, spread] = failures > 0 ? [backoffMs, backoffSpread] : [options.pauseMs, pauseSpread];
-        return pauseMs * (1 + spread * (2 * options.random() - 1));
+        return failures > 0 ? 0 : times.waitMs(options.role?.(), options.peers());
     }
 
     async function step(signal: AbortSignal): Promise<StoreFailure | undefined> {
-        const current: StoreCall = {
-            abort: new AbortController(),
-            startedAt: clock.now(),
-            receivedAt: -Infinity,
-            receivedBytes: 0,
-        };
+        const current = createStoreCall(clock);
         call = current;
-        const stop = () => current.abort.abort();
+        const stop = () => current.abort();
         signal.addEventListener("abort", stop, { once: true });
         const from = nextOffset;
         const isWhole = from < 0;
         const result = isWhole
-            ? await store.newest(stream, current.abort.signal)
-            : await store.read(stream, from, failures > 0 ? 0 : drawWaitMs(), current.abort.signal, bytes => {
-                current.receivedBytes += bytes;
-                current.receivedAt = clock.now();
-            });
+            ? await store.newest(stream, current.signal)
+            : await store.read(stream, from, drawWaitMs(), current.signal, current.received);
         signal.removeEventListener("abort", stop);
         call = undefined;
         if (result.isErr()) {
@@ -178,7 +118,7 @@
             return undefined;
         }
         confirmedAt = answeredAt;
-        pollAfterMs = drawPollAfterMs();
+        pollAfterMs = times.pollAfterMs(options.peers());
         applyBatch(result.value, isWhole, "store");
         if (!isWhole && nextOffset > from) {
             options.readRecords?.(from, result.value);
@@ -189,12 +129,6 @@
         return undefined;
     }
 
-    /** Draws late times the more often the more instances there are, so that few poll when a confirmation is missing. */
-    function drawPollAfterMs(): number {
-        const lateness = options.random() ** (1 / (1 + options.peers() / peersPerPoll));
-        return minPollAfterMs + (maxPollAfterMs - minPollAfterMs) * lateness;
-    }
-
     function noteAnswer(): void {
         answeredAt = clock.now();
         if (failures > 0) {
@@ -224,14 +158,7 @@
     /** Notes that records did not arrive in the time in which others hand them on. */
     function noteMissing(): void {
         const waitedMs = behindSince === undefined ? 0 : Math.round(clock.now() - behindSince);
-        log.belief("records_missing", { stream, applied: nextOffset, waitedMs, ...describeCall() });
-    }
-
-    /** Returns what is known of the call that is under way, for logs. */
-    function describeCall(): { callMs?: number; receivedBytes?: number; } {
-        return call === undefined
-            ? {}
-            : { callMs: Math.round(clock.now() - call.startedAt), receivedBytes: call.receivedBytes };
+        log.belief("records_missing", { stream, applied: nextOffset, waitedMs, ...call?.describe() });
     }
 
     /** Returns the time in milliseconds for which this instance need not call the store. */
@@ -258,11 +185,11 @@
         let silentMs = 0;
         while (call === doubtful && silentMs < behindMs) {
             await clock.sleep(behindMs - silentMs);
-            silentMs = Math.min(behindMs, clock.now() - doubtful.receivedAt);
+            silentMs = Math.min(behindMs, doubtful.silentMs());
         }
         if (call === doubtful) {
-            log.belief("read_replaced", { stream, applied: nextOffset, silentMs: behindMs, ...describeCall() });
-            doubtful.abort.abort();
+            log.belief("read_replaced", { stream, applied: nextOffset, silentMs: behindMs, ...doubtful.describe() });
+            doubtful.abort();
         }
     }
 
@@ -304,7 +231,7 @@
                     noteFailure(failure);
                 }
                 if (failures > 0 || hasRead) {
-                    await clock.sleep(drawPauseMs(), signal);
+                    await clock.sleep(times.pauseMs(failures), signal);
                 }
             }
         },
