--- a/packages/mesh/src/mesh.ts
+++ b/packages/mesh/src/mesh.ts
@@ -4,58 +4,20 @@
  * A lost datagram costs one digest: outcomes in it are lost, totals come again with the next change.
  */
 
-import type { Clock } from "@trefoilladder/clock";
-import type { DecisionLog } from "@trefoilladder/telemetry";
 import { createSocket } from "node:dgram";
-import type { RemoteInfo, Socket } from "node:dgram";
+import type { Socket } from "node:dgram";
 import { splitAddress } from "./address";
-import { decodeBundle } from "./bundle";
-import type { Bundle } from "./bundle";
-import { decodeDigest, encodeDigest, toPassOn, toRelayed, withoutState } from "./digest";
-import type { Digest, TargetDigest } from "./digest";
+import { createDatagramReceiver } from "./datagram-receiver";
+import { encodeDigest, toRelayed } from "./digest";
+import type { Digest } from "./digest";
+import type { MeshOptions, News } from "./mesh-options";
 import { createPeers } from "./peers";
 import type { Peer } from "./peers";
-import { decodePushedRecords, encodePushedRecords } from "./pushed-records";
+import { encodePushedRecords } from "./pushed-records";
 import type { PushedRecords } from "./pushed-records";
 import { createRelay } from "./relay";
 import { chooseRelays } from "./relays";
 
-/** What an instance tells in its next digest. */
-export interface News {
-    configurationVersion: number;
-    targetsOffset: number;
-    targets: TargetDigest[];
-    admitted: [organisation: string, total: number][];
-    furtherAttempts: [service: string, total: number][];
-    configurationOffset: number;
-    /** Ages in milliseconds of the store's last answers about the streams; -1 while it does not answer. */
-    targetsAgeMs: number;
-    configurationAgeMs: number;
-}
-
-/** Options of the mesh. */
-export interface MeshOptions {
-    /** IP address of this instance, and the port that all instances listen on. */
-    address: string;
-    port: number;
-    /** Distinguishes restarts of this instance. */
-    incarnation: string;
-    /** Failure domain of this instance. */
-    domain: string;
-    /** Bandwidth of this instance's link in megabits a second; 0 when it is not known. */
-    linkMbps: number;
-    clock: Clock;
-    log: DecisionLog;
-    random(): number;
-    /** Returns what changed since the previous call. */
-    collectNews(): News;
-    receive(digest: Digest, peer: Peer): void;
-    /** Called with records that an instance of this failure domain has read from the store. */
-    receiveRecords(records: PushedRecords): void;
-    /** Called once for each pass over silent and regained instances. */
-    contactChanged(share: number): void;
-}
-
 /** The running exchange. */
 export interface Mesh {
     start(): Promise<void>;
@@ -79,8 +41,6 @@
 const heartbeatIntervalMs = 600;
 /** Instances in contact from which on digests go through relays. */
 const minRelayedFleet = 12;
-/** First byte of a digest; other datagrams are no text. */
-const digestStart = "[".charCodeAt(0);
 /** Addresses of other instances in each digest. */
 const toldAddresses = 2;
 /** Shortest time between a digest and an urgent one. */
@@ -206,82 +166,13 @@
         options.contactChanged(share);
     }
 
-    function receive(datagram: Buffer, from: RemoteInfo): void {
-        peers.noteDatagram(`${from.address}:${from.port}`, clock.now());
-        if (datagram[0] === digestStart) {
-            receiveDigest(datagram);
-            return;
-        }
-        const bundle = decodeBundle(datagram);
-        if (bundle !== undefined) {
-            receiveBundle(bundle);
-            return;
-        }
-        const records = decodePushedRecords(datagram);
-        if (records === undefined) {
-            log.count("mesh_malformed_datagrams");
-            return;
-        }
-        options.receiveRecords(records);
-    }
-
-    function receiveDigest(datagram: Buffer): void {
-        const decoded = decodeDigest(datagram);
-        if (decoded.isErr()) {
-            log.count("mesh_malformed_datagrams");
-            return;
-        }
-        const digest = toPassOn(datagram);
-        if (digest !== undefined) {
-            outbox.collect(digest);
-        }
-        apply(decoded.value);
-    }
-
-    function receiveBundle({ passOn, text, digests, malformed }: Bundle): void {
-        if (malformed > 0) {
-            log.count("mesh_malformed_datagrams");
-        }
-        if (passOn) {
-            outbox.collectForeign(text);
-        }
-        digests.forEach(apply);
-    }
-
-    function apply(digest: Digest): void {
-        const [address, incarnation] = digest.sender.split("/") as [string, string | undefined];
-        if (address === self || incarnation === undefined) {
-            return;
-        }
-        if (digest.leaving) {
-            peers.remove(address, incarnation);
-            return;
-        }
-        const now = clock.now();
-        const peer = peers.hear(address, incarnation, now);
-        if (peer === undefined) {
-            return;
-        }
-        digest.instances.forEach(known => peers.learn(known, now));
-        if (digest.greeting) {
-            send(encodeNews({}, { instances: peers.addresses() }), address);
-        }
-        // A relay that stood still sends on what is seconds old; a total from then would seem to be given back.
-        if (digest.sequence <= peer.sequence) {
-            options.receive(withoutState(digest), peer);
-            return;
-        }
-        peer.sequence = digest.sequence;
-        // A greeting tells nothing of the streams.
-        if (digest.configurationVersion > 0 || digest.targetsAgeMs >= 0) {
-            peer.configurationVersion = digest.configurationVersion;
-            peer.targetsOffset = digest.targetsOffset;
-            peer.isFailing = digest.targetsAgeMs < 0;
-        }
-        peer.domain = digest.domain;
-        peer.linkMbps = digest.linkMbps;
-        options.receive(digest, peer);
-    }
+    const receive = createDatagramReceiver({
+        ...options,
+        self,
+        peers,
+        outbox,
+        answerGreeting: address => send(encodeNews({}, { instances: peers.addresses() }), address),
+    });
 
     return {
         start() {
