Make a copy anew when its record has changed

Cause: the encoded copy was kept by its offset alone, and a newer configuration can come from a peer without a change of the offset; it would have been given to others as it was before. Found by reading. Result: the new test failed with the key of the offset alone.

--- a/packages/gateway/src/peer-copies.ts
+++ b/packages/gateway/src/peer-copies.ts
@@ -52,7 +52,8 @@
 export function createPeerCopies(parts: PeerCopiesParts): PeerCopies {
     const { client, clock, log } = parts;
     const busy = new Set<Stream>();
-    const encoded = new Map<Stream, { nextOffset: number; bytes: Buffer; }>();
+    /** The last encoded copy of each stream, with what it was made from. */
+    const encoded = new Map<Stream, { nextOffset: number; lastValue: Buffer | undefined; bytes: Buffer; }>();
 
     function hostOf({ address }: Peer): string {
         return splitAddress(address).host;
@@ -60,12 +61,14 @@
 
     function encodedCopyOf(name: Stream): Buffer {
         const copy = parts.copyOf(name);
+        const { nextOffset } = copy;
+        const lastValue = copy.records.at(-1)?.value;
         const known = encoded.get(name);
-        if (known !== undefined && known.nextOffset === copy.nextOffset) {
+        if (known?.nextOffset === nextOffset && known.lastValue === lastValue) {
             return known.bytes;
         }
         const bytes = encodeCopy(copy);
-        encoded.set(name, { nextOffset: copy.nextOffset, bytes });
+        encoded.set(name, { nextOffset, lastValue, bytes });
         return bytes;
     }
 
--- a/test/gateway/peer-copies.test.ts
+++ b/test/gateway/peer-copies.test.ts
@@ -91,6 +91,23 @@
 });
 
 describe("an encoded copy", () => {
+    // Guards against an old configuration that is given to others after a newer one came without a change of the offset.
+    test("is made anew when its record has changed", async () => {
+        const held = { nextOffset: 7, records: [{ key: "current", value: Buffer.from("old") }] };
+        const copies = createPeerCopies({
+            clock: createVirtualClock(),
+            log: silentLog(),
+            random: () => 0,
+            client: { fetch: async () => undefined, push: async () => true },
+            copyOf: () => held,
+            apply: () => undefined,
+        });
+        const first = copies.encodedCopyOf(stream.configuration);
+        expect(copies.encodedCopyOf(stream.configuration)).toBe(first);
+        held.records = [{ key: "current", value: Buffer.from("new") }];
+        expect(decodeCopy(copies.encodedCopyOf(stream.configuration))!.records[0]!.value!.toString()).toBe("new");
+    });
+
     test("survives its encoding, dropped keys included", () => {
         const records = [...copy.records, { key: "gone", value: undefined }];
         expect(decodeCopy(encodeCopy({ nextOffset: 7, records }))).toEqual({ nextOffset: 7, records });
