--- a/packages/replication/src/stream-follower.ts
+++ b/packages/replication/src/stream-follower.ts
@@ -72,6 +72,7 @@
 const roleIntervalMs = 250;
 /** Time in milliseconds for which a read may be silent while a peer is known to be ahead. */
 const behindMs = 400;
+
 function sizeOf(records: readonly KeyedRecord[]): number {
     return records.reduce((sum, { value }) => sum + (value?.length ?? 0), 0);
 }
