Ask others for a missing configuration after 0.2 to 0.4 s again

Pushed datagrams of 4 KB were lost in one domain, the others waited 0.4 to 0.8 s, asked for 0.5 s and polled the store at the next look, a quarter of a second later.

--- a/packages/gateway/src/peer-copies.ts
+++ b/packages/gateway/src/peer-copies.ts
@@ -43,14 +43,14 @@
 /** Pause between two requests for the same stream, in milliseconds. */
 const pauseMs = 250;
 /** Peers that are asked for a copy in turn, and the pause between two of them in milliseconds. */
-const maxAsked = 4;
+const maxAsked = 8;
 const askPauseMs = 60;
 /**
  * Times in milliseconds for which one peer, and all of them, are waited for. The store must be asked soon when others are slow; a copy
  * that comes later is applied all the same.
  */
 const maxAnswerMs = 250;
-const maxAskingMs = 500;
+const maxAskingMs = 600;
 /** Time in milliseconds for sending a copy on before decoding it takes the processor. */
 const sendOnMs = 20;
 
--- a/packages/gateway/src/store-streams.ts
+++ b/packages/gateway/src/store-streams.ts
@@ -60,12 +60,6 @@
  */
 const configurationPauseMs = 900;
 const targetsPauseMs = 300;
-/**
- * Longest time in milliseconds for which a configuration that others have may be on its way to this instance. A large one passes
- * through several instances.
- */
-const configurationMissingMs = 800;
-
 /** Creates the streams; nothing is read before they run. */
 export function createStoreStreams(parts: StoreStreamsParts): StoreStreams {
     const { platform, settings, clock, log, configuration, directory } = parts;
@@ -119,7 +113,6 @@
         pauseMs: configurationPauseMs,
         apply: (records, _, source) => applyConfiguration(records, source),
         readRecords: pushConfiguration,
-        missingMs: configurationMissingMs,
         fetchMissing: fetchConfiguration,
     });
     const targetsFollower = createStreamFollower({
--- a/packages/replication/src/stream-follower.ts
+++ b/packages/replication/src/stream-follower.ts
@@ -52,11 +52,6 @@
     readRecords?(from: number, batch: RecordBatch): void;
     /** Applies records; `isWhole` tells that keys without a record are gone, `source` where they came from, for logs. */
     apply(records: readonly KeyedRecord[], isWhole: boolean, source: string): void;
-    /**
-     * Longest time in milliseconds for which records that others have may be on their way to this instance.
-     * @default 400
-     */
-    missingMs?: number;
     /**
      * Fetches the newest records from another instance. The store is polled when they have not been applied by its end.
      * @default the store is polled at once
@@ -80,7 +75,6 @@
 /** Creates a follower; it reads the newest records first. */
 export function createStreamFollower(options: StreamFollowerOptions): StreamFollower {
     const { store, stream, clock, log } = options;
-    const missingMs = options.missingMs ?? behindMs;
     const times = createReadTimes({ random: options.random, pauseMs: options.pauseMs });
     const roleOf = options.role ?? (() => readerRole.first);
     let nextOffset = -1;
@@ -201,7 +195,7 @@
         }
         fetchPending = true;
         const behindAt = nextOffset;
-        await clock.sleep(missingMs * (0.5 + 0.5 * options.random()));
+        await clock.sleep(behindMs * (0.5 + 0.5 * options.random()));
         if (nextOffset === behindAt) {
             noteMissing();
             if (call === undefined) {
