Use one order of links and one form of sent records

The order of instances by their links stood in the choice of relays and in the push tree, and the form of a record as it is sent, its check and its conversions in the pushed records, in the copies and in the streams; the path of a copy was written out beside the function that builds it. No decision changes; the value of a fetched copy is copied out of what was decoded, as that of a pushed record was before.

--- a/packages/gateway/src/copy-codec.ts
+++ b/packages/gateway/src/copy-codec.ts
@@ -3,8 +3,10 @@
  */
 
 import { decode, encode } from "@msgpack/msgpack";
+import { isRecordRow } from "@trefoilladder/mesh";
 import type { KeyedRecord } from "@trefoilladder/replication";
 import { deflateRawSync, inflateRawSync } from "node:zlib";
+import { toRecord, toRow } from "./record-rows";
 
 /** The newest records of a stream as one instance holds them. */
 export interface StreamCopy {
@@ -17,14 +19,14 @@
 
 /** Encodes a copy. */
 export function encodeCopy({ nextOffset, records }: StreamCopy): Buffer {
-    return deflateRawSync(encode([nextOffset, records.map(({ key, value }) => [key, value ?? null])]));
+    return deflateRawSync(encode([nextOffset, records.map(toRow)]));
 }
 
 /** Decodes a copy; undefined when the bytes are none. */
 export function decodeCopy(bytes: Buffer): StreamCopy | undefined {
     try {
         const [nextOffset, rows] = decode(inflateRawSync(bytes, { maxOutputLength: maxDecodedBytes })) as unknown[];
-        return Number.isInteger(nextOffset) && Array.isArray(rows) && rows.every(isRow)
+        return Number.isInteger(nextOffset) && Array.isArray(rows) && rows.every(isRecordRow)
             ? { nextOffset: nextOffset as number, records: rows.map(toRecord) }
             : undefined;
     }
@@ -33,11 +35,3 @@
         return undefined;
     }
 }
-
-function isRow(row: unknown): row is [string, Uint8Array | null] {
-    return Array.isArray(row) && typeof row[0] === "string" && (row[1] === null || row[1] instanceof Uint8Array);
-}
-
-function toRecord([key, value]: [string, Uint8Array | null]): KeyedRecord {
-    return { key, value: value === null ? undefined : Buffer.from(value.buffer, value.byteOffset, value.byteLength) };
-}
--- a/packages/gateway/src/copy-server.ts
+++ b/packages/gateway/src/copy-server.ts
@@ -19,20 +19,17 @@
 /** Header of a pushed copy with the addresses to which it has to be sent on. */
 export const sendOnHeader = "send-on-to";
 /** Largest copy in bytes. */
-export const maxCopyBytes = 16 * 1024 * 1024;
+const maxCopyBytes = 16 * 1024 * 1024;
 /** Copies that are sent at once; further requests are turned away, since other instances soon have the copy as well. */
 const maxServed = 4;
 
-const paths: Record<string, Stream> = {
-    "/streams/configuration": stream.configuration,
-    "/streams/targets": stream.targets,
-};
-
 /** Returns the path at which instances serve and take copies of a stream. */
 export function copyPath(name: Stream): string {
     return `/streams/${name}`;
 }
 
+const streamsByPath = new Map([stream.configuration, stream.targets].map(name => [copyPath(name), name]));
+
 /** Reads a body; undefined when it is too long or breaks off. */
 export function readBytes(incoming: IncomingMessage, done: (bytes: Buffer | undefined) => void): void {
     const chunks: Buffer[] = [];
@@ -79,7 +76,7 @@
     const handlers: Record<string, typeof takeCopy> = { GET: sendCopy, POST: takeCopy };
 
     return (incoming, outgoing) => {
-        const name = paths[incoming.url ?? ""];
+        const name = streamsByPath.get(incoming.url ?? "");
         const handle = handlers[incoming.method ?? ""];
         if (name === undefined || handle === undefined) {
             outgoing.writeHead(404).end();
--- a/packages/gateway/src/peer-copies.ts
+++ b/packages/gateway/src/peer-copies.ts
@@ -6,9 +6,8 @@
  */
 
 import type { Clock } from "@trefoilladder/clock";
-import { splitAddress } from "@trefoilladder/mesh";
+import { orderReceivers, splitAddress, splitIntoBranches } from "@trefoilladder/mesh";
 import type { Peer } from "@trefoilladder/mesh";
-import { orderReceivers, splitIntoBranches } from "@trefoilladder/replication";
 import type { Stream } from "@trefoilladder/replication";
 import type { DecisionLog } from "@trefoilladder/telemetry";
 import type { CopyClient } from "./copy-client";
@@ -61,7 +60,7 @@
     /** The last encoded copy of each stream, with what it was made from. */
     const encoded = new Map<Stream, { nextOffset: number; lastValue: Buffer | undefined; bytes: Buffer; }>();
 
-    function hostOf({ address }: Peer): string {
+    function hostOf(address: string): string {
         return splitAddress(address).host;
     }
 
@@ -98,7 +97,7 @@
     async function fetchFrom(name: Stream, peer: Peer): Promise<boolean> {
         const startedAt = clock.now();
         log.belief("peer_copy_requested", { stream: name, peer: peer.address });
-        const bytes = await client.fetch(hostOf(peer), name);
+        const bytes = await client.fetch(hostOf(peer.address), name);
         if (bytes === undefined) {
             const ms = Math.round(clock.now() - startedAt);
             log.belief("peer_copy_failed", { stream: name, peer: peer.address, ms });
@@ -143,7 +142,7 @@
             return false;
         },
         push(name, receivers) {
-            const ordered = orderReceivers(receivers).map(address => splitAddress(address).host);
+            const ordered = orderReceivers(receivers).map(hostOf);
             log.belief("peer_copies_pushed", { stream: name, receivers: ordered.length });
             send(name, encodedCopyOf(name), ordered);
         },
--- a/packages/gateway/src/store-streams.ts
+++ b/packages/gateway/src/store-streams.ts
@@ -21,6 +21,7 @@
 import { createPeerCopies } from "./peer-copies";
 import type { PeerCopies } from "./peer-copies";
 import type { PlatformPort } from "./platform-port";
+import { toRecord, toRow } from "./record-rows";
 import type { GatewaySettings } from "./settings";
 import { createTargetRecords } from "./target-records";
 
@@ -60,6 +61,7 @@
  */
 const configurationPauseMs = 900;
 const targetsPauseMs = 300;
+
 /** Creates the streams; nothing is read before they run. */
 export function createStoreStreams(parts: StoreStreamsParts): StoreStreams {
     const { platform, settings, clock, log, configuration, directory } = parts;
@@ -89,8 +91,7 @@
 
     /** Pushes records to the instances of this failure domain; returns whether they fit a datagram. */
     function push(name: Stream, from: number, { records, nextOffset }: RecordBatch): boolean {
-        const rows = records.map(({ key, value }): [string, Buffer | null] => [key, value ?? null]);
-        return parts.mesh().pushRecords({ stream: name, from, nextOffset, records: rows });
+        return parts.mesh().pushRecords({ stream: name, from, nextOffset, records: records.map(toRow) });
     }
 
     /** Hands a configuration to the instances of this failure domain; a large one goes from each to some others. */
@@ -200,10 +201,7 @@
             }
         },
         applyPushed({ stream: name, from, nextOffset, records }) {
-            const read = records.map(([key, value]) => ({
-                key,
-                value: value === null ? undefined : Buffer.from(value),
-            }));
+            const read = records.map(toRecord);
             if (name === stream.configuration) {
                 configurationFollower.applyFrom(from, { records: read, nextOffset });
                 return;
--- a/packages/replication/src/push-tree.ts
+++ b/packages/mesh/src/push-tree.ts
@@ -6,21 +6,18 @@
  * others of its failure domain it fills that one's link for seconds. In a tree each instance sends a few copies.
  */
 
+import { compareLinks } from "./relays";
+import type { RelayCandidate } from "./relays";
+
 /** Instances to which one instance sends a record itself; they send it on to the others. */
 const fanOut = 4;
 
 /** An instance as the choice sees it. */
-export interface PushReceiver {
-    address: string;
-    /** Bandwidth of the instance's link in megabits a second. */
-    linkMbps: number;
-}
+export type PushReceiver = Pick<RelayCandidate, "address" | "linkMbps">;
 
 /** Returns the receivers of a record with the widest links first, since those at the front send the most. */
 export function orderReceivers(receivers: readonly PushReceiver[]): string[] {
-    return [...receivers]
-        .sort((a, b) => b.linkMbps - a.linkMbps || (a.address < b.address ? -1 : 1))
-        .map(({ address }) => address);
+    return [...receivers].sort(compareLinks).map(({ address }) => address);
 }
 
 /**
--- a/packages/mesh/src/pushed-records.ts
+++ b/packages/mesh/src/pushed-records.ts
@@ -12,10 +12,12 @@
     /** Offsets at which the records begin and end. */
     from: number;
     nextOffset: number;
-    /** Keys with their values; without a value the key was dropped. */
-    records: [key: string, value: Uint8Array | null][];
+    records: RecordRow[];
 }
 
+/** A record as it is sent; without a value the key was dropped. */
+export type RecordRow = [key: string, value: Uint8Array | null];
+
 /** First element of each datagram. Digests begin with another byte, since they are text. */
 const recordsFormat = 102;
 /** Longest datagram in bytes; a longer one would be sent in more fragments, which are lost more often. */
@@ -41,11 +43,12 @@
         return undefined;
     }
     const records = decode(inflateRawSync(deflated, { maxOutputLength: maxRecordsBytes }));
-    return Array.isArray(records) && records.every(isRecord)
+    return Array.isArray(records) && records.every(isRecordRow)
         ? { stream, from: from as number, nextOffset: nextOffset as number, records }
         : undefined;
 }
 
-function isRecord(row: unknown): row is [string, Uint8Array | null] {
+/** Tells whether a decoded value is a record as it is sent. */
+export function isRecordRow(row: unknown): row is RecordRow {
     return Array.isArray(row) && typeof row[0] === "string" && (row[1] === null || row[1] instanceof Uint8Array);
 }
--- a/packages/mesh/src/relays.ts
+++ b/packages/mesh/src/relays.ts
@@ -21,7 +21,11 @@
 /** Time without a sign after which an instance is not asked to relay, in milliseconds; shorter than that of silence. */
 const livelyMs = 700;
 
-function compareCandidates(a: RelayCandidate, b: RelayCandidate): number {
+/** Compares instances so that those with the widest links come first, in the same order at all instances. */
+export function compareLinks(
+    a: Pick<RelayCandidate, "address" | "linkMbps">,
+    b: Pick<RelayCandidate, "address" | "linkMbps">,
+): number {
     return b.linkMbps - a.linkMbps || (a.address < b.address ? -1 : 1);
 }
 
@@ -31,6 +35,6 @@
  */
 export function chooseRelays<T extends RelayCandidate>(candidates: readonly T[], now: number): T[] {
     return candidates.filter(({ aliveAt }) => now - aliveAt < livelyMs)
-        .sort(compareCandidates)
+        .sort(compareLinks)
         .slice(0, relaysPerDomain);
 }
--- a/packages/replication/src/index.ts
+++ b/packages/replication/src/index.ts
@@ -1,5 +1,3 @@
-export { orderReceivers, splitIntoBranches } from "./push-tree";
-export type { PushReceiver } from "./push-tree";
 export { StoreFailure, storeProblem, stream } from "./record-store";
 export type { KeyedRecord, RecordBatch, RecordStore, Stream } from "./record-store";
 export { chooseReaderRole, readerRole } from "./store-readers";
--- a/test/replication/push-tree.test.ts
+++ b/test/mesh/push-tree.test.ts
@@ -1,4 +1,4 @@
-import { orderReceivers, splitIntoBranches } from "@trefoilladder/replication";
+import { orderReceivers, splitIntoBranches } from "@trefoilladder/mesh";
 
 /** Instances of a failure domain of a grown site, the size of a compressed configuration, and their links. */
 const receivers = Array.from({ length: 31 }, (_, index) => `10.1.0.${index + 1}`);
