Log how long the store was silent to all when the grace of lapsed records begins

Added: store_returned (silence of the store towards all instances that this one hears of), lapse_grace_begun with why and storeSilentMs, heldMs, sequence and start in target_gone, read_overtaken. No decision changes.

--- a/packages/gateway/src/store-streams.ts
+++ b/packages/gateway/src/store-streams.ts
@@ -5,7 +5,13 @@
 import type { Clock } from "@trefoilladder/clock";
 import type { Digest, Mesh, Peer, PushedRecords } from "@trefoilladder/mesh";
 import { splitAddress } from "@trefoilladder/mesh";
-import { chooseReaderRole, createStreamFollower, readerRole, stream } from "@trefoilladder/replication";
+import {
+    chooseReaderRole,
+    createStoreOutage,
+    createStreamFollower,
+    readerRole,
+    stream,
+} from "@trefoilladder/replication";
 import type {
     KeyedRecord,
     ReaderRole,
@@ -69,6 +75,7 @@
     const targetRecords = createTargetRecords({ decode: platform.decodeTarget, log, directory });
     /** Whether the store failed most instances since it failed this one. */
     let sawOutage = false;
+    const outage = createStoreOutage({ now: clock.now(), log });
 
     function applyConfiguration(records: readonly KeyedRecord[], source: string): void {
         records.filter(({ key }) => key === platform.configurationKey)
@@ -121,7 +128,8 @@
         stream: stream.targets,
         pauseMs: targetsPauseMs,
         apply: targetRecords.apply,
-        regained: () => directory.beginGrace(),
+        regained: () => beginGrace("own_reads_failed"),
+        answered: () => outage.noteAnswer(clock.now()),
         readRecords: (from, batch) => void push(stream.targets, from, batch),
     });
 
@@ -135,11 +143,16 @@
         sawOutage = sawOutage || 2 * failing > peers.length;
     }
 
+    function beginGrace(why: string): void {
+        log.belief("lapse_grace_begun", { why, storeSilentMs: Math.round(outage.silentMs(clock.now())) });
+        directory.beginGrace();
+    }
+
     /** Starts the grace of lapsed records when other instances reach the store again before this one. */
     function beginGraceAfterOutage(): void {
         if (sawOutage) {
             sawOutage = false;
-            directory.beginGrace();
+            beginGrace("most_instances_failed");
         }
     }
 
@@ -188,6 +201,7 @@
         learn({ targetsOffset, targetsAgeMs, configurationOffset, configurationAgeMs }, peer) {
             noteOutage();
             if (targetsAgeMs >= 0) {
+                outage.noteAnswer(clock.now() - targetsAgeMs);
                 targetsFollower.confirmEnd(targetsOffset, clock.now() - targetsAgeMs);
             }
             if (configurationAgeMs >= 0) {
--- /dev/null
+++ b/packages/replication/src/store-outage.ts
@@ -0,0 +1,48 @@
+/**
+ * Whether the store was away, or only out of this instance's reach.
+ *
+ * The store may turn single instances away while it serves all others. Answers that others have had, and told of, count like this
+ * instance's own: only when nobody had one was the store away.
+ */
+
+import type { DecisionLog } from "@trefoilladder/telemetry";
+
+/** What an instance knows of the outages of one stream of the store. */
+export interface StoreOutage {
+    /** Notes that the store answered this instance or another one, at a monotonic time in milliseconds. */
+    noteAnswer(at: number): void;
+    /** Monotonic time in milliseconds at which the last outage ended; -Infinity when none is known. */
+    readonly endedAt: number;
+    /** Returns the time in milliseconds since the last known answer. */
+    silentMs(now: number): number;
+}
+
+/**
+ * Shortest outage in milliseconds. A target writes its record each 1.5 s and the record lapses after three times that, so that a shorter
+ * one costs hardly a living target its record; between two answers to a fleet without an outage pass 1.6 s at most.
+ */
+const minOutageMs = 2_000;
+
+/** Starts to watch the answers; `now` is the monotonic time of the start in milliseconds. */
+export function createStoreOutage({ now, log }: { now: number; log: DecisionLog; }): StoreOutage {
+    let answeredAt = now;
+    let endedAt = -Infinity;
+
+    return {
+        noteAnswer(at) {
+            const silentMs = at - answeredAt;
+            if (silentMs <= 0) {
+                return;
+            }
+            answeredAt = at;
+            if (silentMs > minOutageMs) {
+                endedAt = at;
+                log.belief("store_returned", { silentMs: Math.round(silentMs) });
+            }
+        },
+        silentMs: at => at - answeredAt,
+        get endedAt() {
+            return endedAt;
+        },
+    };
+}
--- a/packages/replication/src/stream-follower.ts
+++ b/packages/replication/src/stream-follower.ts
@@ -59,6 +59,8 @@
     fetchMissing?(): Promise<unknown>;
     /** Called when an answer confirms the stream's end that other instances may wait for. */
     confirmed?(): void;
+    /** Called for each answer of the store. */
+    answered?(): void;
     /** Called when the store answers after failures. */
     regained?(): void;
 }
@@ -110,6 +112,7 @@
         noteAnswer();
         if (nextOffset !== from) {
             // Another instance's records came first; what follows them is read next.
+            log.belief("read_overtaken", { stream, from, applied: nextOffset, to: result.value.nextOffset });
             return undefined;
         }
         confirmedAt = answeredAt;
@@ -131,6 +134,7 @@
             failures = 0;
             options.regained?.();
         }
+        options.answered?.();
     }
 
     function applyBatch({ records, nextOffset: next }: RecordBatch, isWhole: boolean, source: string): void {
--- a/packages/replication/src/target-directory.ts
+++ b/packages/replication/src/target-directory.ts
@@ -40,7 +40,8 @@
 ): TargetDirectory {
     const { clock, log } = parts;
     const targets = new Map<string, ListedTarget>();
-    const lapsed = new Set<string>();
+    /** Monotonic times in milliseconds at which the records of targets lapsed that are kept for a while. */
+    const lapsed = new Map<string, number>();
     /** Last records of dropped targets, which a late copy of them must not bring back. */
     const dropped = new Map<string, TargetRecord>();
     let byService = new Map<string, ListedTarget[]>();
@@ -90,12 +91,19 @@
     }
 
     function remove(id: string, why: string): void {
+        const heldMs = Math.round(clock.now() - (lapsed.get(id) ?? clock.now()));
         lapsed.delete(id);
         const target = targets.get(id);
         if (target !== undefined) {
             targets.delete(id);
             remember(target);
-            log.belief("target_gone", { target: id, why });
+            log.belief("target_gone", {
+                target: id,
+                why,
+                heldMs,
+                sequence: target.sequence,
+                startedAt: target.startedAt,
+            });
             parts.removed(id);
             rebuild();
         }
@@ -110,7 +118,7 @@
             remove(id, "record_dropped");
             return;
         }
-        lapsed.add(id);
+        lapsed.set(id, clock.now());
         log.belief("target_lapsed", { target: id, graceMs: Math.round(remainingMs) });
         void clock.sleep(remainingMs).then(() => {
             if (lapsed.has(id)) {
--- /dev/null
+++ b/test/replication/store-outage.test.ts
@@ -0,0 +1,33 @@
+import { createStoreOutage } from "@trefoilladder/replication";
+import { silentLog } from "./silent-log";
+
+describe("outage of the store", () => {
+    // Guards against taking the failed calls of one instance for an outage of the store.
+    test("did not happen while any instance had answers", () => {
+        const outage = createStoreOutage({ now: 0, log: silentLog() });
+        for (let at = 0; at <= 10_000; at += 1_600) {
+            outage.noteAnswer(at);
+        }
+        expect(outage.endedAt).toBe(-Infinity);
+    });
+
+    test("ends with the first answer after a silence to all", () => {
+        const events: string[] = [];
+        const outage = createStoreOutage({ now: 0, log: silentLog(events) });
+        outage.noteAnswer(1_000);
+        expect(outage.silentMs(5_500)).toBe(4_500);
+        outage.noteAnswer(5_500);
+        // Told late by an instance that had its answer before.
+        outage.noteAnswer(5_200);
+        outage.noteAnswer(5_900);
+        expect(outage.endedAt).toBe(5_500);
+        expect(events).toEqual(["store_returned"]);
+    });
+
+    // Guards against an instance that starts while the store is away and takes its first answer for no news.
+    test("ends with the first answer to an instance that started in it", () => {
+        const outage = createStoreOutage({ now: 1_000, log: silentLog() });
+        outage.noteAnswer(4_000);
+        expect(outage.endedAt).toBe(4_000);
+    });
+});
