Hold dropped targets only after an outage of the store to all instances

Cause: after any failed read an instance took its next answer for the end of an outage of the store and kept dropped targets for 2.2 s, counted from its own return. With the pause of the readers (0.3 s) and the time of a new connection (up to 0.3 s) that is more than 2.5 s. Class: the failure of one instance's own calls taken for a failure of the shared dependency. Change: an outage is a silence of the store to all instances for 2 s, from the ages of answers that digests carry already; digests tell since when their sender knows of no outage, and most of the instances in contact decide. The grace ends 2.2 s after the store's return, not after this instance's. The count of failing peers and the follower's regained callback are gone.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -60,6 +60,7 @@
     const directory = createTargetDirectory({
         clock,
         log,
+        lapseGraceUntil: () => streams.lapseGraceUntil(),
         removed(id) {
             pool.forget(id);
             book.forget(id);
--- a/packages/gateway/src/store-streams.ts
+++ b/packages/gateway/src/store-streams.ts
@@ -9,6 +9,7 @@
     chooseReaderRole,
     createStoreOutage,
     createStreamFollower,
+    lapseGraceUntil,
     readerRole,
     stream,
 } from "@trefoilladder/replication";
@@ -42,9 +43,14 @@
     /** Applies records that a reader of this failure domain has pushed. */
     applyPushed(pushed: PushedRecords): void;
     /** Returns what digests tell of the streams. */
-    progress(): Pick<Digest, "targetsOffset" | "targetsAgeMs" | "configurationOffset" | "configurationAgeMs">;
+    progress(): Pick<
+        Digest,
+        "targetsOffset" | "targetsAgeMs" | "configurationOffset" | "configurationAgeMs" | "outageEndAgeMs"
+    >;
     /** Monotonic time of the store's last answer in milliseconds, 0 before the first one. */
     answeredAt(): number;
+    /** Returns the monotonic time in milliseconds until which records that lapsed in an outage of the store may come back. */
+    lapseGraceUntil(): number;
     /** Returns whether this instance reads the streams for its failure domain. */
     isReader(): boolean;
 }
@@ -67,14 +73,14 @@
  */
 const configurationPauseMs = 900;
 const targetsPauseMs = 300;
+/** Longest time in milliseconds since the end of an outage that is told to others. */
+const maxOutageEndAgeMs = 60_000;
 
 /** Creates the streams; nothing is read before they run. */
 export function createStoreStreams(parts: StoreStreamsParts): StoreStreams {
     const { platform, settings, clock, log, configuration, directory } = parts;
     const selfAddress = `${settings.address}:${settings.meshPort}`;
     const targetRecords = createTargetRecords({ decode: platform.decodeTarget, log, directory });
-    /** Whether the store failed most instances since it failed this one. */
-    let sawOutage = false;
     const outage = createStoreOutage({ now: clock.now(), log });
 
     function applyConfiguration(records: readonly KeyedRecord[], source: string): void {
@@ -128,34 +134,10 @@
         stream: stream.targets,
         pauseMs: targetsPauseMs,
         apply: targetRecords.apply,
-        regained: () => beginGrace("own_reads_failed"),
         answered: () => outage.noteAnswer(clock.now()),
         readRecords: (from, batch) => void push(stream.targets, from, batch),
     });
 
-    function noteOutage(): void {
-        if (!targetsFollower.isFailing) {
-            sawOutage = false;
-            return;
-        }
-        const peers = parts.mesh().peers();
-        const failing = peers.filter(({ isFailing }) => isFailing).length;
-        sawOutage = sawOutage || 2 * failing > peers.length;
-    }
-
-    function beginGrace(why: string): void {
-        log.belief("lapse_grace_begun", { why, storeSilentMs: Math.round(outage.silentMs(clock.now())) });
-        directory.beginGrace();
-    }
-
-    /** Starts the grace of lapsed records when other instances reach the store again before this one. */
-    function beginGraceAfterOutage(): void {
-        if (sawOutage) {
-            sawOutage = false;
-            beginGrace("most_instances_failed");
-        }
-    }
-
     function copyOf(name: Stream): StreamCopy {
         if (name === stream.configuration) {
             const record = configuration.record();
@@ -177,7 +159,6 @@
                 }
                 return;
             }
-            beginGraceAfterOutage();
             targetsFollower.applyCopy(copy);
         },
     });
@@ -193,13 +174,17 @@
         return follower.isFailing ? -1 : Math.round(clock.now() - follower.answeredAt);
     }
 
+    /** Returns the time since the end of the last outage as it is told to others, in milliseconds. */
+    function outageEndAgeMs(): number {
+        return targetsFollower.isFailing ? -1 : Math.round(Math.min(maxOutageEndAgeMs, clock.now() - outage.endedAt));
+    }
+
     return {
         async run(signal) {
             await Promise.all([configurationFollower.run(signal), targetsFollower.run(signal)]);
         },
         copies,
         learn({ targetsOffset, targetsAgeMs, configurationOffset, configurationAgeMs }, peer) {
-            noteOutage();
             if (targetsAgeMs >= 0) {
                 outage.noteAnswer(clock.now() - targetsAgeMs);
                 targetsFollower.confirmEnd(targetsOffset, clock.now() - targetsAgeMs);
@@ -220,7 +205,6 @@
                 configurationFollower.applyFrom(from, { records: read, nextOffset });
                 return;
             }
-            beginGraceAfterOutage();
             targetsFollower.applyFrom(from, { records: read, nextOffset });
         },
         progress: () => ({
@@ -228,7 +212,12 @@
             targetsAgeMs: ageOf(targetsFollower),
             configurationOffset: configurationFollower.nextOffset,
             configurationAgeMs: ageOf(configurationFollower),
+            outageEndAgeMs: outageEndAgeMs(),
         }),
+        lapseGraceUntil() {
+            const others = parts.mesh().peers().flatMap(({ outageEndedAt }) => outageEndedAt ?? []);
+            return lapseGraceUntil(outage.endedAt, others);
+        },
         answeredAt: () => Math.max(configurationFollower.answeredAt, 0),
         isReader: () => role() !== readerRole.none,
     };
--- a/packages/mesh/src/datagram-receiver.ts
+++ b/packages/mesh/src/datagram-receiver.ts
@@ -82,6 +82,7 @@
             peer.configurationVersion = digest.configurationVersion;
             peer.targetsOffset = digest.targetsOffset;
             peer.isFailing = digest.targetsAgeMs < 0;
+            peer.outageEndedAt = digest.outageEndAgeMs < 0 ? undefined : now - digest.outageEndAgeMs;
         }
         peer.domain = digest.domain;
         peer.linkMbps = digest.linkMbps;
--- a/packages/mesh/src/digest.ts
+++ b/packages/mesh/src/digest.ts
@@ -41,6 +41,8 @@
     configurationAgeMs: number;
     /** Bandwidth of the sender's link in megabits a second; 0 when it is not known. */
     linkMbps: number;
+    /** Time in milliseconds since the store was last away from all instances; -1 while the sender cannot tell. */
+    outageEndAgeMs: number;
     /** Number of the digest within its sender's incarnation. */
     sequence: number;
 }
@@ -93,6 +95,7 @@
         digest.configurationAgeMs,
         digest.linkMbps,
         digest.sequence,
+        digest.outageEndAgeMs,
     ]));
 }
 
@@ -163,14 +166,22 @@
     const [, sender, leaving, greeting, configurationVersion, targetsOffset, rows, admitted, instances] =
         fields as unknown[];
     // Absent in digests of older instances.
-    const [furtherAttempts, domain, targetsAgeMs, configurationOffset, configurationAgeMs, linkMbps, sequence] =
-        withDefaults(fields.slice(9), [[], "", -1, 0, -1, 0, 0]);
+    const [
+        furtherAttempts,
+        domain,
+        targetsAgeMs,
+        configurationOffset,
+        configurationAgeMs,
+        linkMbps,
+        sequence,
+        outageEndAgeMs,
+    ] = withDefaults(fields.slice(9), [[], "", -1, 0, -1, 0, 0, -1]);
     const targets = readTargets(rows);
     const isValid = typeof sender === "string" && typeof leaving === "boolean" && typeof greeting === "boolean"
         && typeof configurationVersion === "number" && typeof targetsOffset === "number" && isPairList(admitted)
         && isPairList(furtherAttempts) && typeof domain === "string" && typeof targetsAgeMs === "number"
         && typeof configurationOffset === "number" && typeof configurationAgeMs === "number"
-        && typeof linkMbps === "number" && typeof sequence === "number"
+        && typeof linkMbps === "number" && typeof sequence === "number" && typeof outageEndAgeMs === "number"
         && Array.isArray(instances) && instances.every(address => typeof address === "string");
     return isValid && targets !== undefined
         ? {
@@ -188,6 +199,7 @@
             configurationOffset,
             configurationAgeMs,
             linkMbps,
+            outageEndAgeMs,
             sequence,
         }
         : undefined;
--- a/packages/mesh/src/mesh-options.ts
+++ b/packages/mesh/src/mesh-options.ts
@@ -15,6 +15,8 @@
     /** Ages in milliseconds of the store's last answers about the streams; -1 while it does not answer. */
     targetsAgeMs: number;
     configurationAgeMs: number;
+    /** Time in milliseconds since the store was last away from all instances; -1 while that is not known. */
+    outageEndAgeMs: number;
 }
 
 /** Options of the mesh. */
--- a/packages/mesh/src/mesh.ts
+++ b/packages/mesh/src/mesh.ts
@@ -92,6 +92,7 @@
             configurationOffset: news.configurationOffset ?? 0,
             configurationAgeMs: news.configurationAgeMs ?? -1,
             linkMbps: options.linkMbps,
+            outageEndAgeMs: news.outageEndAgeMs ?? -1,
             sequence: sequence += 1,
             ...flags,
         });
--- a/packages/mesh/src/peers.ts
+++ b/packages/mesh/src/peers.ts
@@ -16,6 +16,8 @@
     domain: string;
     /** Whether the store does not answer the instance. */
     isFailing: boolean;
+    /** Monotonic time in milliseconds at which the last outage of the store ended; undefined while the instance cannot tell. */
+    outageEndedAt: number | undefined;
     /** Bandwidth of the instance's link in megabits a second; 0 while it is not known. */
     linkMbps: number;
     /** Number of the newest digest of the incarnation. */
@@ -97,6 +99,7 @@
                 targetsOffset: 0,
                 domain: "",
                 isFailing: true,
+                outageEndedAt: undefined,
                 linkMbps: 0,
                 sequence: -1,
             };
--- a/packages/replication/src/index.ts
+++ b/packages/replication/src/index.ts
@@ -1,6 +1,6 @@
 export { StoreFailure, storeProblem, stream } from "./record-store";
 export type { KeyedRecord, RecordBatch, RecordStore, Stream } from "./record-store";
-export { createStoreOutage } from "./store-outage";
+export { createStoreOutage, lapseGraceUntil } from "./store-outage";
 export type { StoreOutage } from "./store-outage";
 export { chooseReaderRole, readerRole } from "./store-readers";
 export type { ReaderCandidate, ReaderRole } from "./store-readers";
--- a/packages/replication/src/store-outage.ts
+++ b/packages/replication/src/store-outage.ts
@@ -7,6 +7,9 @@
 
 import type { DecisionLog } from "@trefoilladder/telemetry";
 
+/** Time after an outage of the store in which lapsed records of living targets come back, in milliseconds. */
+const lapsedRecordGraceMs = 2_200;
+
 /** What an instance knows of the outages of one stream of the store. */
 export interface StoreOutage {
     /** Notes that the store answered this instance or another one, at a monotonic time in milliseconds. */
@@ -46,3 +49,12 @@
         },
     };
 }
+
+/**
+ * Returns until when lapsed records may come back, at a monotonic time in milliseconds, from the end of the last outage as this instance
+ * and others know it. Most of them decide: one that was cut off, or stood still, takes its own silence for an outage.
+ */
+export function lapseGraceUntil(own: number, others: readonly number[]): number {
+    const ends = [own, ...others].sort((a, b) => a - b);
+    return ends[Math.floor((ends.length - 1) / 2)]! + lapsedRecordGraceMs;
+}
--- a/packages/replication/src/stream-follower.ts
+++ b/packages/replication/src/stream-follower.ts
@@ -61,8 +61,6 @@
     confirmed?(): void;
     /** Called for each answer of the store. */
     answered?(): void;
-    /** Called when the store answers after failures. */
-    regained?(): void;
 }
 
 /** Interval in milliseconds in which an instance that is no reader looks whether it has become one. */
@@ -132,7 +130,6 @@
         if (failures > 0) {
             log.lifecycle("dependency_regained", { dependency: "store", stream, failures });
             failures = 0;
-            options.regained?.();
         }
         options.answered?.();
     }
--- a/packages/replication/src/target-directory.ts
+++ b/packages/replication/src/target-directory.ts
@@ -20,24 +20,27 @@
     drop(id: string): void;
     /** Keeps only the targets with these ids. */
     retain(ids: ReadonlySet<string>): void;
-    /** Starts the time in which records that lapsed during an outage may come back. */
-    beginGrace(): void;
     get(id: string): ListedTarget | undefined;
     /** Returns the targets of a service that may get requests. */
     serving(service: string): readonly ListedTarget[];
     readonly size: number;
 }
 
-/** Time after an outage of the store in which lapsed records of living targets come back, in milliseconds. */
-export const lapsedRecordGraceMs = 2_200;
-
 /** Dropped targets that are remembered; the oldest are forgotten first. */
 const maxDropped = 4_096;
 
-/** Creates an empty directory; `removed` is called with the id of each target that is gone or replaced. */
-export function createTargetDirectory(
-    parts: { clock: Clock; log: DecisionLog; removed(id: string): void; },
-): TargetDirectory {
+/** What the directory needs. */
+export interface TargetDirectoryParts {
+    clock: Clock;
+    log: DecisionLog;
+    /** Returns the monotonic time in milliseconds until which records that lapsed in an outage of the store may come back. */
+    lapseGraceUntil(): number;
+    /** Called with the id of each target that is gone or replaced. */
+    removed(id: string): void;
+}
+
+/** Creates an empty directory. */
+export function createTargetDirectory(parts: TargetDirectoryParts): TargetDirectory {
     const { clock, log } = parts;
     const targets = new Map<string, ListedTarget>();
     /** Monotonic times in milliseconds at which the records of targets lapsed that are kept for a while. */
@@ -45,7 +48,6 @@
     /** Last records of dropped targets, which a late copy of them must not bring back. */
     const dropped = new Map<string, TargetRecord>();
     let byService = new Map<string, ListedTarget[]>();
-    let graceUntil = -Infinity;
 
     function isOlder(record: TargetRecord, known: TargetRecord): boolean {
         return record.startedAt < known.startedAt
@@ -113,15 +115,16 @@
         if (!targets.has(id) || lapsed.has(id)) {
             return;
         }
-        const remainingMs = graceUntil - clock.now();
+        const lapsedAt = clock.now();
+        const remainingMs = parts.lapseGraceUntil() - lapsedAt;
         if (remainingMs <= 0) {
             remove(id, "record_dropped");
             return;
         }
-        lapsed.set(id, clock.now());
+        lapsed.set(id, lapsedAt);
         log.belief("target_lapsed", { target: id, graceMs: Math.round(remainingMs) });
         void clock.sleep(remainingMs).then(() => {
-            if (lapsed.has(id)) {
+            if (lapsed.get(id) === lapsedAt) {
                 remove(id, "not_back_after_outage");
             }
         });
@@ -146,9 +149,6 @@
         retain(ids) {
             [...targets.keys()].filter(id => !ids.has(id)).forEach(drop);
         },
-        beginGrace() {
-            graceUntil = clock.now() + lapsedRecordGraceMs;
-        },
         get: id => targets.get(id),
         serving: service => byService.get(service) ?? [],
         get size() {
--- a/test/mesh/relays.test.ts
+++ b/test/mesh/relays.test.ts
@@ -43,6 +43,7 @@
         instances: [],
         domain: "a",
         targetsAgeMs: 0,
+        outageEndAgeMs: 60_000,
         configurationOffset: 0,
         configurationAgeMs: 0,
         linkMbps: 10,
@@ -92,6 +93,7 @@
                     furtherAttempts: [],
                     configurationOffset: 0,
                     targetsAgeMs: 0,
+                    outageEndAgeMs: 60_000,
                     configurationAgeMs: 0,
                 }),
                 receive(digest) {
--- a/test/replication/store-outage.test.ts
+++ b/test/replication/store-outage.test.ts
@@ -1,4 +1,4 @@
-import { createStoreOutage } from "@trefoilladder/replication";
+import { createStoreOutage, lapseGraceUntil } from "@trefoilladder/replication";
 import { silentLog } from "./silent-log";
 
 describe("outage of the store", () => {
@@ -31,3 +31,19 @@
         expect(outage.endedAt).toBe(4_000);
     });
 });
+
+describe("time in which lapsed records may come back", () => {
+    // Guards against an instance that was cut off from the store and all others, and keeps targets that have left.
+    test("does not begin with the return of one instance", () => {
+        expect(lapseGraceUntil(10_000, [-Infinity])).toBe(-Infinity);
+        expect(lapseGraceUntil(10_000, [-Infinity, 10_000, -Infinity, -Infinity])).toBe(-Infinity);
+    });
+
+    test("ends 2.2 s after an outage that most instances saw, also where it went unnoticed", () => {
+        expect(lapseGraceUntil(-Infinity, [5_000, 5_100, -Infinity, 5_050])).toBe(7_200);
+    });
+
+    test("follows this instance alone when no other is in contact", () => {
+        expect(lapseGraceUntil(5_000, [])).toBe(7_200);
+    });
+});
