Confirm the end of a stream only by an answer that is applied

Change: digests carry the age of the last answer behind which nothing was left to apply. Test: fails with the age of any answer (a mutant of the new line: received the time of the overtaken answer), passes now.

--- a/packages/gateway/src/store-streams.ts
+++ b/packages/gateway/src/store-streams.ts
@@ -171,7 +171,8 @@
     }
 
     function ageOf(follower: StreamFollower): number {
-        return follower.isFailing ? -1 : Math.round(clock.now() - follower.answeredAt);
+        const ageMs = clock.now() - follower.endConfirmedAt;
+        return follower.isFailing || ageMs === Infinity ? -1 : Math.round(ageMs);
     }
 
     /** Returns the time since the end of the last outage as it is told to others, in milliseconds. */
--- a/packages/replication/src/stream-follower.ts
+++ b/packages/replication/src/stream-follower.ts
@@ -30,6 +30,8 @@
     readonly nextOffset: number;
     /** Monotonic time of the last answer of the store in milliseconds. */
     readonly answeredAt: number;
+    /** Monotonic time in milliseconds of the last answer to this instance behind which nothing was left to apply. */
+    readonly endConfirmedAt: number;
 }
 
 /** Options of a follower. */
@@ -79,6 +81,7 @@
     const roleOf = options.role ?? (() => readerRole.first);
     let nextOffset = -1;
     let answeredAt = -Infinity;
+    let endConfirmedAt = -Infinity;
     let confirmedAt = -Infinity;
     let pollAfterMs = maxPollAfterMs;
     let failures = 0;
@@ -111,9 +114,13 @@
         if (nextOffset !== from) {
             // Another instance's records came first; what follows them is read next.
             log.belief("read_overtaken", { stream, from, applied: nextOffset, to: result.value.nextOffset });
+            if (result.value.nextOffset <= nextOffset) {
+                endConfirmedAt = answeredAt;
+            }
             return undefined;
         }
         confirmedAt = answeredAt;
+        endConfirmedAt = answeredAt;
         pollAfterMs = times.pollAfterMs(options.peers());
         applyBatch(result.value, isWhole, "store");
         if (!isWhole && nextOffset > from) {
@@ -271,5 +278,8 @@
         get answeredAt() {
             return answeredAt;
         },
+        get endConfirmedAt() {
+            return endConfirmedAt;
+        },
     };
 }
--- a/test/replication/stream-follower.test.ts
+++ b/test/replication/stream-follower.test.ts
@@ -305,6 +305,22 @@
         await played.stop();
     });
 
+    // Guards against a reader that tells the others that the stream ends where pushed records ended: they would not poll for 1.5 s.
+    test("does not confirm the end by an answer with more records that pushed ones overtook", async () => {
+        const played = startFollower([ok({ records: [], nextOffset: 5 }), "held"], 40, {
+            role: () => readerRole.domain,
+        });
+        await played.pass(500);
+        const confirmedAt = played.follower.endConfirmedAt;
+        await played.pass(500);
+        played.follower.applyFrom(5, { records: [record("b")], nextOffset: 6 });
+        played.release(ok({ records: [record("b"), record("c")], nextOffset: 7 }));
+        await played.pass(50);
+        expect(played.follower.nextOffset).toBe(6);
+        expect(played.follower.endConfirmedAt).toBe(confirmedAt);
+        await played.stop();
+    });
+
     // Guards against an instance that backs off, and asks others for copies, although the store answers it again.
     test("counts the store as regained by an answer that other records overtook", async () => {
         const failed: Answer = err(new StoreFailure("refused", "turned away"));
