Hand on only records that the own directory has taken

One that starts took a target that leaves for ready. Change: a record is kept for others when the directory has taken it. Tests: both failed before (the leaving target was in use at the instance that started; the dropped one was handed on), and pass.

--- a/packages/gateway/src/target-records.ts
+++ b/packages/gateway/src/target-records.ts
@@ -32,8 +32,9 @@
             log.belief("target_record_malformed", { target: key, message: decoded.error.message });
             return;
         }
-        values.set(key, value);
-        directory.put(decoded.value);
+        if (directory.put(decoded.value)) {
+            values.set(key, value);
+        }
     }
 
     function retain(keys: ReadonlySet<string>): void {
--- a/packages/replication/src/target-directory.ts
+++ b/packages/replication/src/target-directory.ts
@@ -14,8 +14,8 @@
 
 /** The listed targets. */
 export interface TargetDirectory {
-    /** Applies what a target said last. An older record of the same incarnation changes nothing. */
-    put(record: TargetRecord): void;
+    /** Applies what a target said last. An older record of the same incarnation changes nothing; returns false for one. */
+    put(record: TargetRecord): boolean;
     /** Notes that the record of a target was dropped. */
     drop(id: string): void;
     /** Keeps only the targets with these ids. */
@@ -135,7 +135,7 @@
             const known = targets.get(record.id);
             if (known !== undefined && isOlder(record, known) || wasDropped(record)) {
                 log.belief("older_record_ignored", { target: record.id, sequence: record.sequence });
-                return;
+                return false;
             }
             lapsed.delete(record.id);
             targets.set(record.id, { ...record, coldUntil: clock.now() + record.coldMs });
@@ -144,6 +144,7 @@
                 log.belief("target_listed", { target: id, service, draining, sequence, startedAt });
             }
             rebuild();
+            return true;
         },
         drop,
         retain(ids) {
