Refuse requests that a planned stop would cut

Cause: the stop closed the listener and idle connections, but the request path knew no time from which on a request cannot be finished. Change: the times of a stop are planned at its beginning. Once the balancer has had its time, or when the usual time of the route's requests does not fit what is left, a request is refused at once as not run, with Retry-After and Connection: close. Tests: both failed before (the late request got no answer and reached the target; status 0 in place of 503) and pass.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -26,7 +26,8 @@
 import { createServiceBook } from "./service-book";
 import type { GatewaySettings, InvalidSettings } from "./settings";
 import { compareSettings } from "./settings-file";
-import { stopServing } from "./stop";
+import { planStop, stopServing } from "./stop";
+import type { StopTimes } from "./stop";
 import { createStoreStreams } from "./store-streams";
 import { createTargetBook } from "./target-book";
 
@@ -53,7 +54,7 @@
     const incarnation = randomBytes(6).toString("hex");
     const log = createDecisionLog({ instance: settings.instance, level: settings.logLevel });
     let inForce = settings;
-    let isStopping = false;
+    let stopTimes: StopTimes | undefined;
     let running = 0;
 
     const pool = createConnectionPool({ now, connectTimeoutMs, requestIdHeader: platform.headers.requestId });
@@ -138,14 +139,14 @@
         profiles,
         serviceState: createServiceBook(settings.budget, attemptBuckets, now),
         metrics,
-        isStopping: () => isStopping,
+        stopTimes: () => stopTimes,
     });
     const callers = createCallerServer((incoming, outgoing) => {
         running += 1;
         outgoing.on("close", () => running -= 1);
         flow(incoming, outgoing);
     });
-    const isReady = () => !isStopping && configuration.current() !== undefined && directory.size > 0;
+    const isReady = () => stopTimes === undefined && configuration.current() !== undefined && directory.size > 0;
     const readiness = createServer((incoming, outgoing) => {
         outgoing.writeHead(incoming.url === platform.readinessPath && isReady() ? 200 : 503).end();
     });
@@ -199,12 +200,13 @@
 
     async function stop(): Promise<void> {
         log.lifecycle("stopping", { running });
-        isStopping = true;
+        const times = planStop(now(), inForce.stopSeconds * 1_000);
+        stopTimes = times;
         await stopServing({
             server: callers.server,
             clock,
             log,
-            stopMs: inForce.stopSeconds * 1_000,
+            times,
             running: () => running,
         });
         stopping.abort();
--- a/packages/gateway/src/refusal.ts
+++ b/packages/gateway/src/refusal.ts
@@ -9,6 +9,7 @@
     | "body_too_large"
     | "body_timeout"
     | "no_configuration"
+    | "stopping"
     | "over_limit"
     | "no_target"
     | "overloaded"
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -25,6 +25,8 @@
 import { sendResponse, streamResponse } from "./response-relay";
 import type { createRouteProfiles } from "./route-profile";
 import type { ServiceState } from "./service-book";
+import { canFinish } from "./stop";
+import type { StopTimes } from "./stop";
 
 /** Collaborators of the request path. */
 export interface FlowParts extends RunParts {
@@ -34,8 +36,8 @@
     profiles: ReturnType<typeof createRouteProfiles>;
     serviceState(service: string): ServiceState;
     metrics: Metrics;
-    /** Whether connections close after their answers, because the instance stops. */
-    isStopping(): boolean;
+    /** Returns the times of the planned stop that has begun; connections close after their answers from then on. */
+    stopTimes(): StopTimes | undefined;
 }
 
 /** A request whose head has been checked against the configuration. */
@@ -74,6 +76,7 @@
 /** Returns the listener of the callers' server. */
 export function createRequestFlow(parts: FlowParts): (incoming: IncomingMessage, outgoing: ServerResponse) => void {
     const { names, log, now } = parts;
+    const isStopping = () => parts.stopTimes() !== undefined;
 
     function admit(incoming: IncomingMessage): Result<Admitted, Refusal> {
         return safeTry(function*() {
@@ -107,6 +110,7 @@
                     },
                 }));
             }
+            yield* admitBeforeStop(parts.profiles.of(route).latency.usualMs());
             const service = chooseService(route);
             const endAt = arrivedAt + Math.min(request.deadlineMs, route.timeoutMs) - answerMarginMs;
             const admitted = { request, route, organisation, service, version, arrivedAt, endAt };
@@ -123,6 +127,20 @@
         });
     }
 
+    /** Refuses a request that the planned stop would cut; other instances have room for it at once. */
+    function admitBeforeStop(usualMs: number | undefined): Result<void, Refusal> {
+        const times = parts.stopTimes();
+        if (times === undefined || canFinish(times, now(), usualMs)) {
+            return ok(undefined);
+        }
+        const inputs = {
+            usualMs,
+            closesInMs: Math.round(times.closesAt - now()),
+            endsInMs: Math.round(times.endsAt - now()),
+        };
+        return err(refusal("stopping", 503, { retryAfterSeconds: retryAfterSeconds(0, parts.random), inputs }));
+    }
+
     /** Draws a service by the weights; a refusal of one service is never moved to another. */
     function chooseService(route: Route): string {
         const total = route.services.reduce((sum, { weight }) => sum + weight, 0);
@@ -156,7 +174,7 @@
         log.request(id, "refused", { code: refused.code, status: refused.status, ...refused.inputs });
         parts.metrics.countRefusal(refused.code);
         const unread = !incoming.complete;
-        sendRefusal(outgoing, refused, { names, id, close: parts.isStopping() || refused.status === 413 });
+        sendRefusal(outgoing, refused, { names, id, close: isStopping() || refused.status === 413 });
         if (unread) {
             incoming.resume();
         }
@@ -269,7 +287,7 @@
         const { response } = result;
         if (response !== undefined && !result.notRun && !promisesNotRun(response.head.status)) {
             state.note(false);
-            sendResponse(outgoing, { head: response.head, body: response.body }, parts.isStopping());
+            sendResponse(outgoing, { head: response.head, body: response.body }, isStopping());
             log.request(admitted.request.id, "target_error_relayed", summary(admitted, run, response.head.status));
             parts.metrics.recordAnswer(labels(admitted, "target_error"), ageOf(admitted));
             return;
@@ -334,7 +352,7 @@
         }
         if (result.kind === "complete") {
             profile.recordSize(result.body.length);
-            sendResponse(outgoing, result, parts.isStopping());
+            sendResponse(outgoing, result, isStopping());
             recordAnswered(admitted, run, result.head);
             return;
         }
@@ -348,7 +366,7 @@
             outgoing.destroy();
         }, Math.max(0, remainingMs) + lateStreamMs);
         outgoing.on("close", () => clearTimeout(timer));
-        streamResponse(outgoing, { attempt, result, close: parts.isStopping() }, {
+        streamResponse(outgoing, { attempt, result, close: isStopping() }, {
             ended: () => recordAnswered(admitted, run, result.head),
             brokenOff,
         });
--- a/packages/gateway/src/stop.ts
+++ b/packages/gateway/src/stop.ts
@@ -12,21 +12,38 @@
 const exitMarginMs = 350;
 const pollMs = 50;
 
+/** Monotonic times of a planned stop, in milliseconds. */
+export interface StopTimes {
+    /** From when on no further request is taken. */
+    closesAt: number;
+    /** When the process ends, whatever still runs. */
+    endsAt: number;
+}
+
+/** Returns the times of a stop that begins now and ends by a kill after `stopMs`. */
+export function planStop(now: number, stopMs: number): StopTimes {
+    return { closesAt: now + Math.min(leaveBalancerMs, stopMs / 2), endsAt: now + stopMs - exitMarginMs };
+}
+
+/** Tells whether a request can be finished before the stop; `usualMs` is the usual time of its work, undefined while unknown. */
+export function canFinish({ closesAt, endsAt }: StopTimes, now: number, usualMs = 0): boolean {
+    return now < closesAt && now + usualMs < endsAt;
+}
+
 /** Ends the server of the callers; resolves when no request runs or the time is over. */
 export async function stopServing(parts: {
     server: Server;
     clock: Clock;
     log: DecisionLog;
-    stopMs: number;
+    times: StopTimes;
     /** Number of requests that run. */
     running(): number;
 }): Promise<void> {
-    const { server, clock, log } = parts;
+    const { server, clock, log, times } = parts;
     const startedAt = clock.now();
-    const lastAt = startedAt + parts.stopMs - exitMarginMs;
-    await clock.sleep(Math.min(leaveBalancerMs, parts.stopMs / 2));
+    await clock.sleep(times.closesAt - startedAt);
     server.close();
-    while (clock.now() < lastAt) {
+    while (clock.now() < times.endsAt) {
         server.closeIdleConnections();
         const open = await countConnections(server);
         if (parts.running() === 0 && open === 0) {
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -419,6 +419,42 @@
         }
     });
 
+    // Guards against requests that are taken near the end of the stop time and cut with it, run or not.
+    test("that stops refuses as not run what comes too late to be finished, while earlier requests run", async () => {
+        const slow: Answer = (socket, _, id) => void setTimeout(() => socket.write(responseText(id)), 1_900);
+        await start([slow], { stopSeconds: 3 });
+        const early = callFirst(filing);
+        await until(() => arrivals() === 1);
+        const stopped = fleet.gateways[0]!.stop();
+        const late = connect(fleet.callers[0]!);
+        let answered = "";
+        late.on("data", chunk => answered += chunk.toString());
+        await delay(1_700);
+        late.write(
+            "POST /filing/1 HTTP/1.1\r\nHost: laurel.example\r\nRequest-Id: late\r\nDeadline-Ms: 3000\r\n"
+                + "Authorization: Bearer key-1\r\nContent-Length: 1\r\n\r\nx",
+        );
+        await until(() => answered.includes("\r\n\r\n"));
+        expect(answered).toMatch(/^HTTP\/1.1 503 [^]*Retry-After: 0\.\d+\r\n[^]*Connection: close/);
+        expect((await early).status).toBe(200);
+        await stopped;
+        expect(arrivals()).toBe(1);
+        late.destroy();
+    });
+
+    // Guards against a request whose usual time of work does not fit what is left of the stop time.
+    test("that stops refuses a request that usually takes longer than the instance will run", async () => {
+        const slow: Answer = (socket, _, id) => void setTimeout(() => socket.write(responseText(id)), 1_500);
+        await start([slow], { stopSeconds: 2 });
+        await Promise.all(Array.from({ length: 6 }, () => callFirst()));
+        const before = arrivals();
+        const stopped = fleet.gateways[0]!.stop();
+        await delay(400);
+        expect((await callFirst()).status).toBe(503);
+        await stopped;
+        expect(arrivals()).toBe(before);
+    });
+
     test("that stops finishes its requests and reports unready at once", async () => {
         await start([(socket, _, id) => void setTimeout(() => socket.write(responseText(id)), 600)], {
             stopSeconds: 3,
