Test that an answer cut at any byte is never handed on as whole

It cannot happen here: the test cuts three framings at every byte, by a close and by a reset, and the caller of a filing gets 502 each time. It passed at once; no code is changed. The entry instance, whose client is undici, is not covered by it.

--- /dev/null
+++ b/test/gateway/cut-heads.test.ts
@@ -0,0 +1,43 @@
+import { call, until } from "./caller";
+import { startFleet } from "./fixtures";
+import type { Answer, Fleet } from "./fixtures";
+
+let fleet: Fleet;
+
+afterEach(() => fleet.close());
+
+/** Framings of a whole response that targets use. */
+const framings: Record<string, (id: string) => string> = {
+    length: id => `HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nResponse-Signature: s\r\nContent-Length: 5\r\n\r\nwhole`,
+    chunked: id =>
+        `HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nResponse-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n`,
+    lengthFirst: id =>
+        `HTTP/1.1 200 OK\r\nContent-Length: 5\r\nConnection: close\r\nResponse-Signature: s\r\nRequest-Id: ${id}\r\n\r\nwhole`,
+};
+
+/** How a target breaks off. */
+const endings: Record<string, (socket: Parameters<Answer>[0], text: string) => void> = {
+    closes: (socket, text) => void socket.end(text, "latin1"),
+    resets: (socket, text) => void socket.write(text, "latin1", () => socket.resetAndDestroy()),
+};
+
+describe("a target that breaks off in the head of its answer or behind it", () => {
+    // Guards against a success with an empty or short body that is framed as whole.
+    test.each(Object.keys(framings).flatMap(framing => Object.keys(endings).map(ending => [framing, ending] as const)))(
+        "never makes a whole answer of it (%s, target %s)",
+        async (framing, ending) => {
+            let length = 0;
+            fleet = await startFleet({
+                answers: [(socket, _, id) => endings[ending]!(socket, framings[framing]!(id).slice(0, length))],
+            });
+            await until(async () => (await call(fleet.callers[0]!, { path: "/none/" })).status === 404);
+            const whole = framings[framing]!("id").length;
+            for (length = 1; length < whole; length++) {
+                const id = "id";
+                const result = await call(fleet.callers[0]!, { path: "/filing/1", method: "POST", body: "x", id });
+                expect({ length, status: result.status }).toEqual({ length, status: 502 });
+            }
+        },
+        60_000,
+    );
+});
