Send nothing to a target that said in an answer that it leaves

Nothing read the header, so an instance that the store turns away went on for as long as the record said ready. Change: the head of each answer of a target, also of one that is skipped, broken off or replaced, is read for it; the directory, beside the draining record, keeps it for that start of the target. Idle connections to a draining or leaving target are closed, and a new start under the same id begins without the knowledge and the connections of the one before.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -4,7 +4,7 @@
 
 import { attemptEnd, outcome } from "@trefoilladder/placement";
 import type { AttemptEnd, Outcome } from "@trefoilladder/placement";
-import type { ListedTarget } from "@trefoilladder/replication";
+import type { ListedTarget, TargetDirectory } from "@trefoilladder/replication";
 import type { ConnectionPool, Exchange, OutgoingRequest, ResponseHead } from "@trefoilladder/upstream";
 import { createBodyStream } from "./body-stream";
 import type { BodySink, BodyStream } from "./body-stream";
@@ -12,6 +12,7 @@
 import { readLoad, readResponseKind, responseKind } from "./response-check";
 import type { ResponseKind } from "./response-check";
 import type { TargetBook } from "./target-book";
+import { readNotice } from "./target-notice";
 
 /** How an attempt ended, or that its response has begun to stream. */
 export type AttemptResult =
@@ -38,6 +39,7 @@
 export interface AttemptParts {
     pool: ConnectionPool;
     book: TargetBook;
+    directory: Pick<TargetDirectory, "noteLeaving">;
     names: HeaderNames;
     now(): number;
 }
@@ -99,6 +101,13 @@
         return options.usualMs !== undefined && now() - (sentAt ?? now()) >= workedShare * options.usualMs;
     }
 
+    /** Notes what a target says of itself, in whichever answer it comes, also in one that is not handed on. */
+    function applyNotice(received: ResponseHead): void {
+        if (readNotice(received, names).leaving) {
+            parts.directory.noteLeaving(target);
+        }
+    }
+
     function complete(response: ResponseHead, body: Buffer): void {
         if (kind === responseKind.usable) {
             release(outcome.success);
@@ -139,9 +148,13 @@
             sentAt = now();
             options.sent();
         },
-        skipped: options.skipped,
+        skipped(id, received) {
+            applyNotice(received);
+            options.skipped(id);
+        },
         head(received) {
             head = received;
+            applyNotice(received);
             kind = readResponseKind(received, names, exchange.isFresh);
             const load = readLoad(received, names);
             if (load !== undefined) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -57,7 +57,12 @@
     let stopTimes: StopTimes | undefined;
     let running = 0;
 
-    const pool = createConnectionPool({ now, connectTimeoutMs, requestIdHeader: platform.headers.requestId });
+    const pool = createConnectionPool({
+        now,
+        connectTimeoutMs,
+        requestIdHeader: platform.headers.requestId,
+        keeps: id => directory.isServing(id),
+    });
     const directory = createTargetDirectory({
         clock,
         log,
@@ -66,6 +71,7 @@
             pool.forget(id);
             book.forget(id);
         },
+        leaving: id => pool.forget(id),
     });
     const book = createTargetBook({ directory, domain: settings.domain, now, log, urgent: () => mesh.hurry() });
     const limitGroup = createLimitGroup({ now, minChange: 1 });
@@ -130,6 +136,7 @@
     const flow = createRequestFlow({
         pool,
         book,
+        directory,
         names: platform.headers,
         now,
         log,
--- a/packages/gateway/src/header-names.ts
+++ b/packages/gateway/src/header-names.ts
@@ -12,6 +12,8 @@
     notRun: string;
     /** Proof of the target that the response is its own. */
     signature: string;
+    /** Present in all answers of a target that leaves. */
+    leaving: string;
     /** Running requests, waiting requests and slots, separated by commas. */
     load: string;
 }
--- a/packages/replication/src/target-directory.ts
+++ b/packages/replication/src/target-directory.ts
@@ -12,6 +12,9 @@
     coldUntil: number;
 }
 
+/** One start of a target. */
+export type Incarnation = Pick<TargetRecord, "id" | "startedAt">;
+
 /** The listed targets. */
 export interface TargetDirectory {
     /** Applies what a target said last. An older record of the same incarnation changes nothing; returns false for one. */
@@ -20,15 +23,22 @@
     drop(id: string): void;
     /** Keeps only the targets with these ids. */
     retain(ids: ReadonlySet<string>): void;
+    /** Notes that an incarnation of a target said in an answer that it leaves; no later record of it takes that back. */
+    noteLeaving(target: Incarnation): void;
     get(id: string): ListedTarget | undefined;
     /** Returns the targets of a service that may get requests. */
     serving(service: string): readonly ListedTarget[];
+    /** Tells whether a target may get requests. */
+    isServing(id: string): boolean;
     readonly size: number;
 }
 
 /** Dropped targets that are remembered; the oldest are forgotten first. */
 const maxDropped = 4_096;
 
+/** Incarnations that said that they leave and are remembered, about as many as there are targets; the oldest are forgotten first. */
+const maxLeaving = 32_768;
+
 /** What the directory needs. */
 export interface TargetDirectoryParts {
     clock: Clock;
@@ -37,6 +47,8 @@
     lapseGraceUntil(): number;
     /** Called with the id of each target that is gone or replaced. */
     removed(id: string): void;
+    /** Called with the id of each target that gets no further requests and may still be at work on some. */
+    leaving(id: string): void;
 }
 
 /** Creates an empty directory. */
@@ -47,8 +59,14 @@
     const lapsed = new Map<string, number>();
     /** Last records of dropped targets, which a late copy of them must not bring back. */
     const dropped = new Map<string, TargetRecord>();
+    /** Starts of the incarnations that said in an answer that they leave, by target. */
+    const leaving = new Map<string, number>();
     let byService = new Map<string, ListedTarget[]>();
 
+    function isLeaving({ id, startedAt }: Incarnation): boolean {
+        return leaving.get(id) === startedAt;
+    }
+
     function isOlder(record: TargetRecord, known: TargetRecord): boolean {
         return record.startedAt < known.startedAt
             || record.startedAt === known.startedAt && record.sequence < known.sequence;
@@ -83,7 +101,7 @@
     function rebuild(): void {
         byService = new Map();
         for (const target of targets.values()) {
-            if (target.draining || isReplaced(target)) {
+            if (target.draining || isLeaving(target) || isReplaced(target)) {
                 continue;
             }
             const list = byService.get(target.service) ?? [];
@@ -143,6 +161,12 @@
                 const { id, service, draining, sequence, startedAt } = record;
                 log.belief("target_listed", { target: id, service, draining, sequence, startedAt });
             }
+            if (known !== undefined && known.startedAt !== record.startedAt) {
+                parts.removed(record.id);
+            }
+            else if (record.draining) {
+                parts.leaving(record.id);
+            }
             rebuild();
             return true;
         },
@@ -150,7 +174,32 @@
         retain(ids) {
             [...targets.keys()].filter(id => !ids.has(id)).forEach(drop);
         },
+        noteLeaving(target) {
+            if (isLeaving(target) || (leaving.get(target.id) ?? -Infinity) > target.startedAt) {
+                return;
+            }
+            leaving.delete(target.id);
+            leaving.set(target.id, target.startedAt);
+            const oldest = leaving.keys().next();
+            if (leaving.size > maxLeaving && oldest.done !== true) {
+                leaving.delete(oldest.value);
+            }
+            const listed = targets.get(target.id);
+            log.belief("target_leaving", {
+                target: target.id,
+                startedAt: target.startedAt,
+                source: "answer",
+                listedAs: listed === undefined ? "gone" : listed.draining ? "draining" : "ready",
+                sequence: listed?.sequence,
+            });
+            parts.leaving(target.id);
+            rebuild();
+        },
         get: id => targets.get(id),
+        isServing(id) {
+            const target = targets.get(id);
+            return target !== undefined && !target.draining && !isLeaving(target);
+        },
         serving: service => byService.get(service) ?? [],
         get size() {
             return targets.size;
--- a/packages/upstream/src/connection-pool.ts
+++ b/packages/upstream/src/connection-pool.ts
@@ -26,7 +26,7 @@
 export interface ConnectionPool {
     /** Sends a request over a connection that has been idle for at most `maxIdleMs`, or over a new one. */
     exchange(target: TargetAddress, maxIdleMs: number, request: OutgoingRequest, listener: ExchangeListener): Exchange;
-    /** Closes the idle connections to a target that is gone. */
+    /** Closes the idle connections to a target that is gone or leaves. */
     forget(target: string): void;
     /** Closes connections that have been idle for too long. */
     sweep(): void;
@@ -40,6 +40,8 @@
     now(): number;
     connectTimeoutMs: number;
     requestIdHeader: string;
+    /** Tells whether a connection to a target is kept for further requests. */
+    keeps(target: string): boolean;
 }
 
 /** Longest time that a connection is kept idle, in milliseconds. */
@@ -76,6 +78,10 @@
             requestIdHeader: options.requestIdHeader,
             now: options.now,
             idle() {
+                if (!options.keeps(target.id)) {
+                    connection.destroy();
+                    return;
+                }
                 const list = idle.get(target.id) ?? [];
                 list.push(connection);
                 idle.set(target.id, list);
--- a/packages/upstream/src/target-connection.ts
+++ b/packages/upstream/src/target-connection.ts
@@ -50,7 +50,7 @@
     end(): void;
     fail(failure: ExchangeFailure): void;
     /** Called for a response that belongs to an earlier request and was skipped. */
-    skipped(id: string): void;
+    skipped(id: string, head: ResponseHead): void;
 }
 
 /** A connection that is open or being opened. */
@@ -166,7 +166,7 @@
             if (skipping) {
                 headsBeforeResponse += 1;
                 if (head.status >= 200) {
-                    current.listener.skipped(answeredId ?? "");
+                    current.listener.skipped(answeredId ?? "", head);
                 }
                 return false;
             }
--- a/test/gateway/attempt-run.test.ts
+++ b/test/gateway/attempt-run.test.ts
@@ -67,6 +67,7 @@
     const run = startRun({
         pool: pool(answer, maxIdleMs),
         book,
+        directory: { noteLeaving: silent },
         names: headers,
         now: options.now ?? (() => performance.now()),
         log,
--- a/test/gateway/fixtures.ts
+++ b/test/gateway/fixtures.ts
@@ -131,6 +131,7 @@
     expectedTarget: "expected-target",
     notRun: "not-run",
     signature: "response-signature",
+    leaving: "leaving",
     load: "load",
 };
 
--- a/test/gateway/store-streams.test.ts
+++ b/test/gateway/store-streams.test.ts
@@ -85,6 +85,7 @@
         log,
         lapseGraceUntil: () => streams.lapseGraceUntil(),
         removed: () => undefined,
+        leaving: () => undefined,
     });
     const streams: StoreStreams = createStoreStreams({
         platform: {
--- a/test/gateway/target-book.test.ts
+++ b/test/gateway/target-book.test.ts
@@ -8,7 +8,13 @@
 function openBook(size: number) {
     const clock = createVirtualClock();
     const log = silentLog();
-    const directory = createTargetDirectory({ clock, log, lapseGraceUntil: () => -Infinity, removed: () => undefined });
+    const directory = createTargetDirectory({
+        clock,
+        log,
+        lapseGraceUntil: () => -Infinity,
+        removed: () => undefined,
+        leaving: () => undefined,
+    });
     const targets = Array.from({ length: size }, (_, index) => targetRecord(index, 1));
     targets.forEach(target => directory.put(target));
     const counts = { urgent: 0 };
--- a/test/gateway/target-records.test.ts
+++ b/test/gateway/target-records.test.ts
@@ -14,6 +14,7 @@
         log,
         lapseGraceUntil: () => -Infinity,
         removed: () => undefined,
+        leaving: () => undefined,
     });
     const decode = (_: string, bytes: Buffer) => ok(JSON.parse(bytes.toString()) as TargetRecord);
     return { directory, records: createTargetRecords({ decode, log, directory }) };
--- a/test/mesh/digest-cost.bench.ts
+++ b/test/mesh/digest-cost.bench.ts
@@ -47,7 +47,13 @@
 function createBooks(load: FleetLoad, now: () => number) {
     const clock = createVirtualClock();
     const log = silentLog();
-    const directory = createTargetDirectory({ clock, log, lapseGraceUntil: () => -Infinity, removed: () => undefined });
+    const directory = createTargetDirectory({
+        clock,
+        log,
+        lapseGraceUntil: () => -Infinity,
+        removed: () => undefined,
+        leaving: () => undefined,
+    });
     for (let index = 0; index < load.targets; index++) {
         directory.put({
             id: `i-49d26d80${index}`,
--- a/test/replication/target-directory.test.ts
+++ b/test/replication/target-directory.test.ts
@@ -6,16 +6,18 @@
 function startDirectory() {
     const clock = createVirtualClock();
     const removed: string[] = [];
+    const left: string[] = [];
     const outage = { graceUntil: -Infinity };
     const directory = createTargetDirectory({
         clock,
         log: silentLog(),
         lapseGraceUntil: () => outage.graceUntil,
         removed: id => removed.push(id),
+        leaving: id => left.push(id),
     });
     const serving = () => directory.serving("dossier").map(({ id }) => id);
     const beginGrace = () => outage.graceUntil = clock.now() + 2_200;
-    return { clock, directory, removed, serving, beginGrace };
+    return { clock, directory, removed, left, serving, beginGrace };
 }
 
 describe("target directory", () => {
@@ -76,3 +78,48 @@
         expect(serving()).toEqual([]);
     });
 });
+
+describe("a target that says in an answer that it leaves", () => {
+    // Guards against requests to a leaving target while the store is away or tells nothing of it.
+    test("gets no requests, whatever records of the same start say later", () => {
+        const { directory, left, serving } = startDirectory();
+        directory.put(targetRecord(0, 80));
+        directory.noteLeaving(targetRecord(0, 80));
+        expect(serving()).toEqual([]);
+        expect(left).toEqual(["target-0"]);
+        directory.put(targetRecord(0, 80, { sequence: 2 }));
+        directory.drop("target-0");
+        directory.put(targetRecord(0, 80, { sequence: 3 }));
+        expect(serving()).toEqual([]);
+        expect(directory.isServing("target-0")).toBe(false);
+    });
+
+    test("begins anew with a later start and with another target at its address", () => {
+        const { directory, removed, serving } = startDirectory();
+        directory.put(targetRecord(0, 80));
+        directory.noteLeaving(targetRecord(0, 80));
+        directory.put(targetRecord(0, 80, { startedAt: 5_000 }));
+        expect(serving()).toEqual(["target-0"]);
+        expect(removed).toEqual(["target-0"]);
+        directory.put(targetRecord(1, 80, { startedAt: 6_000 }));
+        expect(serving()).toEqual(["target-1"]);
+    });
+
+    // Guards against an answer of an earlier start that arrives when the target has started again.
+    test("is not hidden for what an earlier start said", () => {
+        const { directory, serving } = startDirectory();
+        directory.put(targetRecord(0, 80, { startedAt: 5_000 }));
+        directory.noteLeaving(targetRecord(0, 80, { startedAt: 1_000 }));
+        expect(serving()).toEqual(["target-0"]);
+        directory.noteLeaving(targetRecord(0, 80, { startedAt: 5_000 }));
+        directory.noteLeaving(targetRecord(0, 80, { startedAt: 1_000 }));
+        expect(serving()).toEqual([]);
+    });
+
+    test("may be known by its answer before its record", () => {
+        const { directory, serving } = startDirectory();
+        directory.noteLeaving(targetRecord(0, 80));
+        directory.put(targetRecord(0, 80));
+        expect(serving()).toEqual([]);
+    });
+});
--- a/test/upstream/scripted-target.ts
+++ b/test/upstream/scripted-target.ts
@@ -62,8 +62,13 @@
 }
 
 /** Creates a pool for tests. */
-export function createPool(): ConnectionPool {
-    return createConnectionPool({ now: () => performance.now(), connectTimeoutMs: 300, requestIdHeader: "request-id" });
+export function createPool(keeps: () => boolean = () => true): ConnectionPool {
+    return createConnectionPool({
+        now: () => performance.now(),
+        connectTimeoutMs: 300,
+        requestIdHeader: "request-id",
+        keeps,
+    });
 }
 
 /** Sends a request and waits for what comes of it. */
