Count no requests below zero at a target that started again

Cause, found on the way: the load of a target is forgotten when it is gone or starts again; requests that had begun before then ended on the new load, which fell below zero and made the target look emptier than idle. Test: failed before (-1 in place of 1), passes now.

--- a/packages/placement/src/target-load.ts
+++ b/packages/placement/src/target-load.ts
@@ -42,7 +42,8 @@
             inFlight += 1;
         },
         end() {
-            inFlight -= 1;
+            // A request may have begun before the target started again and its load was forgotten.
+            inFlight = Math.max(0, inFlight - 1);
             inFlightAtReport = Math.min(inFlightAtReport, inFlight);
         },
         get inFlight() {
--- a/test/placement/target-load.test.ts
+++ b/test/placement/target-load.test.ts
@@ -12,6 +12,16 @@
         expect(load.inFlight).toBe(0);
     });
 
+    // Guards against a target that started again, looks less than idle, and draws requests from all others.
+    test("is not below zero when requests to an earlier start of the target end", () => {
+        const load = createTargetLoad();
+        load.end();
+        load.end();
+        load.begin();
+        expect(load.inFlight).toBe(1);
+        expect(load.utilisation(6, 0, 0)).toBeCloseTo(1 / 6);
+    });
+
     // Replays scale-1 of laurel-gw: targets without a fresh report looked idle and queues grew while others had slots.
     test("takes a target without a fresh report to be as busy as its peers", () => {
         const silent = createTargetLoad();
