Leave a target alone for as long as it turns this instance away

Change: the head is read into a typed notice; the directory, which decides who takes new requests, keeps the end of the time for that start of the target, up to 300 s. A request that waits for its connection is withdrawn when it opens. While no target of a service wants requests they are refused at once, with the time until one does in Retry-After, spread by a fifth.

--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -5,7 +5,7 @@
  * request is refused at once, as not run, so that its caller can come back while there is time.
  */
 
-import { queueWaitMs, retryAfterSeconds } from "@trefoilladder/placement";
+import { queueWaitMs, retryAfterSeconds, returnAfterSeconds } from "@trefoilladder/placement";
 import { err, ok } from "neverthrow";
 import type { Result } from "neverthrow";
 import { refusal } from "./refusal";
@@ -21,6 +21,8 @@
     /** Requests by slots at the least used target; undefined without a target. */
     leastUsed: number | undefined;
     refusedShare: number;
+    /** Returns the time in milliseconds until a target wants requests again; undefined when none is known. */
+    msUntilServing(): number | undefined;
     random(): number;
 }
 
@@ -34,7 +36,9 @@
     const retryAfter = () => retryAfterSeconds(Math.max(0.3, state.refusedShare), state.random);
     const { leastUsed } = state;
     if (leastUsed === undefined) {
-        return err(refusal("no_target", 503, { retryAfterSeconds: retryAfter() }));
+        const msUntilServing = state.msUntilServing();
+        const seconds = Math.max(retryAfter(), returnAfterSeconds(msUntilServing ?? 0, state.random));
+        return err(refusal("no_target", 503, { retryAfterSeconds: seconds, inputs: { msUntilServing } }));
     }
     const waitMs = queueWaitMs(leastUsed, state.usualMs);
     const share = Math.max(minWaitShare, urgentWaitShare - waitShareStep * state.priority);
--- a/packages/gateway/src/attempt-run.ts
+++ b/packages/gateway/src/attempt-run.ts
@@ -6,7 +6,6 @@
 import type { AttemptAllowance, AttemptEnd } from "@trefoilladder/placement";
 import type { ListedTarget } from "@trefoilladder/replication";
 import type { Route } from "@trefoilladder/serving";
-import type { DecisionLog } from "@trefoilladder/telemetry";
 import type { OutgoingRequest } from "@trefoilladder/upstream";
 import { startAttempt } from "./attempt";
 import type { Attempt, AttemptParts, AttemptResult } from "./attempt";
@@ -37,7 +36,6 @@
 
 /** What a run needs. */
 export interface RunParts extends AttemptParts {
-    log: DecisionLog;
     random(): number;
 }
 
@@ -54,7 +52,7 @@
     endAt: number;
     /** Time in milliseconds after which an attempt without a response is late. */
     lateAfterMs: number;
-    requestFor(target: ListedTarget): OutgoingRequest;
+    requestFor(target: ListedTarget): Omit<OutgoingRequest, "isWanted">;
     keptBytes: number;
     /** Usual time that a target works on such a request, in milliseconds; undefined while unknown. */
     usualMs: number | undefined;
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -5,6 +5,8 @@
 import { attemptEnd, outcome } from "@trefoilladder/placement";
 import type { AttemptEnd, Outcome } from "@trefoilladder/placement";
 import type { ListedTarget, TargetDirectory } from "@trefoilladder/replication";
+import type { DecisionLog } from "@trefoilladder/telemetry";
+import { exchangeProblem } from "@trefoilladder/upstream";
 import type { ConnectionPool, Exchange, OutgoingRequest, ResponseHead } from "@trefoilladder/upstream";
 import { createBodyStream } from "./body-stream";
 import type { BodySink, BodyStream } from "./body-stream";
@@ -39,7 +41,8 @@
 export interface AttemptParts {
     pool: ConnectionPool;
     book: TargetBook;
-    directory: Pick<TargetDirectory, "noteLeaving">;
+    directory: Pick<TargetDirectory, "isServing" | "noteLeaving" | "noteTurnedAway">;
+    log: DecisionLog;
     names: HeaderNames;
     now(): number;
 }
@@ -47,7 +50,7 @@
 /** Options of one attempt. */
 export interface AttemptOptions {
     target: ListedTarget;
-    request: OutgoingRequest;
+    request: Omit<OutgoingRequest, "isWanted">;
     /** Longest idle time of a kept connection that may carry the request, in milliseconds. */
     maxIdleMs: number;
     /** Usual time that a target works on such a request, in milliseconds; undefined while unknown. */
@@ -103,9 +106,16 @@
 
     /** Notes what a target says of itself, in whichever answer it comes, also in one that is not handed on. */
     function applyNotice(received: ResponseHead): void {
-        if (readNotice(received, names).leaving) {
+        const { leaving, turnedAwayMs, unreadableTime } = readNotice(received, names);
+        if (leaving) {
             parts.directory.noteLeaving(target);
         }
+        if (turnedAwayMs !== undefined) {
+            parts.directory.noteTurnedAway(target, turnedAwayMs);
+        }
+        if (unreadableTime !== undefined) {
+            parts.log.belief("turned_away_time_unreadable", { target: target.id, value: unreadableTime });
+        }
     }
 
     function complete(response: ResponseHead, body: Buffer): void {
@@ -143,7 +153,8 @@
     }
 
     book.begin(target.id);
-    const exchange: Exchange = parts.pool.exchange(target, options.maxIdleMs, options.request, {
+    const request: OutgoingRequest = { ...options.request, isWanted: () => parts.directory.isServing(target) };
+    const exchange: Exchange = parts.pool.exchange(target, options.maxIdleMs, request, {
         sent() {
             sentAt = now();
             options.sent();
@@ -195,7 +206,8 @@
             const arrived = sentAt !== undefined;
             // A reset of a kept connection may be the target's idle timeout, which says nothing about its health.
             const isIdleRace = arrived && !exchange.isFresh && head === undefined;
-            release(!arrived ? outcome.unreachable : isIdleRace ? undefined : outcome.failure);
+            const isWithdrawn = failure.code === exchangeProblem.withdrawn;
+            release(isWithdrawn || isIdleRace ? undefined : arrived ? outcome.failure : outcome.unreachable);
             if (stream !== undefined) {
                 stream.fail();
                 return;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -61,7 +61,7 @@
         now,
         connectTimeoutMs,
         requestIdHeader: platform.headers.requestId,
-        keeps: id => directory.isServing(id),
+        keeps: id => directory.isKept(id),
     });
     const directory = createTargetDirectory({
         clock,
--- a/packages/gateway/src/header-names.ts
+++ b/packages/gateway/src/header-names.ts
@@ -14,6 +14,8 @@
     signature: string;
     /** Present in all answers of a target that leaves. */
     leaving: string;
+    /** Seconds for which a target that answers 503 wants nothing from this instance. */
+    turnedAwaySeconds: string;
     /** Running requests, waiting requests and slots, separated by commas. */
     load: string;
 }
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -2,7 +2,8 @@
  * The way of one caller's request: checks, limit, attempts, answer.
  */
 
-import { retryAfterSeconds } from "@trefoilladder/placement";
+import { retryAfterSeconds, returnAfterSeconds } from "@trefoilladder/placement";
+import type { TargetDirectory } from "@trefoilladder/replication";
 import type { ConfigurationIndex, Organisation, Route } from "@trefoilladder/serving";
 import type { OutgoingRequest, ResponseHead } from "@trefoilladder/upstream";
 import { err, ok, safeTry } from "neverthrow";
@@ -30,6 +31,7 @@
 
 /** Collaborators of the request path. */
 export interface FlowParts extends RunParts {
+    directory: TargetDirectory;
     /** Returns the configuration in force; undefined before the first one. */
     configuration(): ConfigurationIndex | undefined;
     limits: LimitBook;
@@ -120,6 +122,7 @@
                 usualMs: parts.profiles.of(route).latency.usualMs(),
                 leastUsed: parts.book.leastUtilisation(service),
                 refusedShare: parts.serviceState(service).refusedShare(),
+                msUntilServing: () => parts.directory.msUntilServing(service),
                 random: parts.random,
             });
             yield* takeFromLimit(admitted);
@@ -185,7 +188,7 @@
         body: RequestBody,
         targetId: string,
         bodyFailed: () => void,
-    ): OutgoingRequest {
+    ): Omit<OutgoingRequest, "isWanted"> {
         const { request, organisation } = admitted;
         const length = body.whole?.length ?? request.contentLength;
         const hasBody = length === undefined || length > 0 || request.method !== "GET" && request.method !== "HEAD";
@@ -308,7 +311,10 @@
     ): Refusal {
         const inputs = { ...summary(admitted, run, undefined), end: result.end, why: result.why };
         if (result.notRun) {
-            const wait = retryAfterSeconds(state.refusedShare(), parts.random);
+            const wait = Math.max(
+                retryAfterSeconds(state.refusedShare(), parts.random),
+                returnAfterSeconds(parts.directory.msUntilServing(admitted.service) ?? 0, parts.random),
+            );
             return refusal(result.end === "not_run" ? "shed" : "unreachable", 503, { retryAfterSeconds: wait, inputs });
         }
         return result.end === "timed_out"
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -7,7 +7,7 @@
 export type { Candidate, Demand } from "./placement";
 export { median, quantile } from "./quantile";
 export { explainedWaitMs, queueWaitMs } from "./queue-wait";
-export { retryAfterSeconds } from "./retry-after";
+export { retryAfterSeconds, returnAfterSeconds } from "./retry-after";
 export { attemptEnd, mayRepeat } from "./second-attempt";
 export type { AttemptEnd, AttemptState } from "./second-attempt";
 export { createTargetHealth, outcome } from "./target-health";
--- a/packages/placement/src/retry-after.ts
+++ b/packages/placement/src/retry-after.ts
@@ -15,3 +15,11 @@
     const span = minSeconds + (maxSeconds - minSeconds) * Math.min(1, Math.max(0, refusedShare));
     return Math.round((minSeconds + span * random()) * 1_000) / 1_000;
 }
+
+/** Part of a known wait by which returns are spread, so that not all callers meet the target in the moment at which it has room again. */
+const returnSpread = 0.2;
+
+/** Returns the wait in seconds for a service of which no target wants requests for a time in milliseconds. */
+export function returnAfterSeconds(untilMs: number, random: () => number): number {
+    return Math.round(untilMs * (1 + returnSpread * random())) / 1_000;
+}
--- a/packages/replication/src/target-directory.ts
+++ b/packages/replication/src/target-directory.ts
@@ -25,11 +25,20 @@
     retain(ids: ReadonlySet<string>): void;
     /** Notes that an incarnation of a target said in an answer that it leaves; no later record of it takes that back. */
     noteLeaving(target: Incarnation): void;
+    /** Notes that an incarnation of a target wants nothing from this instance for a time in milliseconds. */
+    noteTurnedAway(target: Incarnation, forMs: number): void;
     get(id: string): ListedTarget | undefined;
     /** Returns the targets of a service that may get requests. */
     serving(service: string): readonly ListedTarget[];
-    /** Tells whether a target may get requests. */
-    isServing(id: string): boolean;
+    /** Tells whether a target may get requests, now or when it has room again. */
+    isKept(id: string): boolean;
+    /** Tells whether an incarnation of a target may get requests now. */
+    isServing(target: Incarnation): boolean;
+    /**
+     * Returns the time in milliseconds until a target of a service wants requests again: 0 when one may get requests now, undefined
+     * when none is known.
+     */
+    msUntilServing(service: string): number | undefined;
     readonly size: number;
 }
 
@@ -39,6 +48,9 @@
 /** Incarnations that said that they leave and are remembered, about as many as there are targets; the oldest are forgotten first. */
 const maxLeaving = 32_768;
 
+/** Longest time in milliseconds for which a target may turn an instance away; a faulty one may say hours. */
+const maxTurnedAwayMs = 300_000;
+
 /** What the directory needs. */
 export interface TargetDirectoryParts {
     clock: Clock;
@@ -51,6 +63,10 @@
     leaving(id: string): void;
 }
 
+function keyOf({ id, startedAt }: Incarnation): string {
+    return `${id}/${startedAt}`;
+}
+
 /** Creates an empty directory. */
 export function createTargetDirectory(parts: TargetDirectoryParts): TargetDirectory {
     const { clock, log } = parts;
@@ -59,12 +75,21 @@
     const lapsed = new Map<string, number>();
     /** Last records of dropped targets, which a late copy of them must not bring back. */
     const dropped = new Map<string, TargetRecord>();
-    /** Starts of the incarnations that said in an answer that they leave, by target. */
-    const leaving = new Map<string, number>();
+    /** Incarnations that said in an answer that they leave. */
+    const leaving = new Set<string>();
+    /** Monotonic times in milliseconds at which the incarnations that turned this instance away want requests again. */
+    const turnedAway = new Map<string, number>();
+    /** Monotonic time in milliseconds from which on no target turns this instance away. */
+    let noneTurnedAwayFrom = -Infinity;
     let byService = new Map<string, ListedTarget[]>();
 
-    function isLeaving({ id, startedAt }: Incarnation): boolean {
-        return leaving.get(id) === startedAt;
+    function isLeaving(target: Incarnation): boolean {
+        return leaving.has(keyOf(target));
+    }
+
+    /** Returns the time in milliseconds for which a target wants nothing from this instance. */
+    function msTurnedAway(target: Incarnation): number {
+        return Math.max(0, (turnedAway.get(keyOf(target)) ?? -Infinity) - clock.now());
     }
 
     function isOlder(record: TargetRecord, known: TargetRecord): boolean {
@@ -175,11 +200,10 @@
             [...targets.keys()].filter(id => !ids.has(id)).forEach(drop);
         },
         noteLeaving(target) {
-            if (isLeaving(target) || (leaving.get(target.id) ?? -Infinity) > target.startedAt) {
+            if (isLeaving(target)) {
                 return;
             }
-            leaving.delete(target.id);
-            leaving.set(target.id, target.startedAt);
+            leaving.add(keyOf(target));
             const oldest = leaving.keys().next();
             if (leaving.size > maxLeaving && oldest.done !== true) {
                 leaving.delete(oldest.value);
@@ -196,11 +220,33 @@
             rebuild();
         },
         get: id => targets.get(id),
-        isServing(id) {
+        noteTurnedAway(target, forMs) {
+            const now = clock.now();
+            const until = now + Math.min(maxTurnedAwayMs, forMs);
+            if (until <= Math.max(now, turnedAway.get(keyOf(target)) ?? -Infinity)) {
+                return;
+            }
+            [...turnedAway].filter(([, end]) => end <= now).forEach(([key]) => turnedAway.delete(key));
+            turnedAway.set(keyOf(target), until);
+            noneTurnedAwayFrom = Math.max(noneTurnedAwayFrom, until);
+            const { id, startedAt } = target;
+            log.belief("target_turned_away", { target: id, startedAt, askedMs: forMs, forMs: Math.round(until - now) });
+        },
+        isKept(id) {
             const target = targets.get(id);
             return target !== undefined && !target.draining && !isLeaving(target);
         },
-        serving: service => byService.get(service) ?? [],
+        isServing(target) {
+            return targets.get(target.id)?.draining === false && !isLeaving(target) && msTurnedAway(target) === 0;
+        },
+        msUntilServing(service) {
+            const waits = (byService.get(service) ?? []).map(msTurnedAway);
+            return waits.length === 0 ? undefined : Math.min(...waits);
+        },
+        serving(service) {
+            const listed = byService.get(service) ?? [];
+            return clock.now() >= noneTurnedAwayFrom ? listed : listed.filter(target => msTurnedAway(target) === 0);
+        },
         get size() {
             return targets.size;
         },
--- a/packages/upstream/src/target-connection.ts
+++ b/packages/upstream/src/target-connection.ts
@@ -11,6 +11,8 @@
 export const exchangeProblem = {
     /** No connection could be made; nothing was sent. */
     unreachable: "unreachable",
+    /** The request was no longer wanted at the target when the connection was open; nothing was sent. */
+    withdrawn: "withdrawn",
     /** The connection broke after something had been sent. */
     broken: "broken",
     /** The target sent bytes that are no response. */
@@ -35,6 +37,8 @@
     /** Id that the target repeats in its response. */
     id: string;
     method: string;
+    /** Tells, when the connection is open, whether the request may still be sent. */
+    isWanted(): boolean;
     /** Builds request line and headers at the moment of sending, since they carry the remaining time. */
     head(): string;
     /** Sends the body; called once the head is written. */
@@ -193,6 +197,10 @@
 
     function send(): void {
         const { request, listener } = current!;
+        if (!request.isWanted()) {
+            fail("withdrawn", "the target takes no requests any more");
+            return;
+        }
         bodySent = false;
         socket.removeAllListeners("drain");
         socket.write(request.head(), "latin1");
--- a/test/gateway/attempt-run.test.ts
+++ b/test/gateway/attempt-run.test.ts
@@ -67,7 +67,7 @@
     const run = startRun({
         pool: pool(answer, maxIdleMs),
         book,
-        directory: { noteLeaving: silent },
+        directory: { isServing: () => true, noteLeaving: silent, noteTurnedAway: silent },
         names: headers,
         now: options.now ?? (() => performance.now()),
         log,
--- a/test/gateway/fixtures.ts
+++ b/test/gateway/fixtures.ts
@@ -132,6 +132,7 @@
     notRun: "not-run",
     signature: "response-signature",
     leaving: "leaving",
+    turnedAwaySeconds: "retry-after",
     load: "load",
 };
 
--- a/test/gateway/target-notices.test.ts
+++ b/test/gateway/target-notices.test.ts
@@ -111,3 +111,62 @@
         agent.destroy();
     });
 });
+
+function turnAway(seconds: string, mark = "Not-Run: 1\r\n"): Answer {
+    return socket =>
+        void socket.write(`HTTP/1.1 503 Full\r\n${mark}Retry-After: ${seconds}\r\nContent-Length: 0\r\n\r\n`);
+}
+
+/** Refusals that say for how long the target wants nothing. */
+const turningAnswers: Record<string, Answer> = {
+    "a refusal": turnAway("2"),
+    "a fraction of seconds": turnAway("1.5"),
+    "a number of many digits": turnAway("9".repeat(3_000)),
+    "a failure without the mark of a refusal": turnAway("2", ""),
+    "a late refusal of an earlier request": (socket, _, id) =>
+        void socket.write(
+            "HTTP/1.1 503 Full\r\nRequest-Id: earlier\r\nRetry-After: 2\r\nContent-Length: 0\r\n\r\n"
+                + responseText(id),
+        ),
+    "a refusal that is broken off": socket =>
+        void socket.end("HTTP/1.1 503 Full\r\nRetry-After: 2\r\nContent-Length: 9\r\n\r\nbusy"),
+};
+
+describe("a target that turns an instance away for a time", () => {
+    // Guards against requests to a target that asked to be left alone.
+    test.each(Object.keys(turningAnswers))("gets nothing in that time after %s", async kind => {
+        await start([turningAnswers[kind]!, good, good]);
+        expect(await requestsAfterFirst(0, 30)).toBe(0);
+    });
+
+    test.each(["0", "-3", "1e9", "Sat, 05 Dec 2026 08:00:00 GMT", "soon"])(
+        "is used on after a time that asks for nothing (%s)",
+        async seconds => {
+            await start([turnAway(seconds)]);
+            await callFirst();
+            expect(await requestsAfterFirst(0, 3)).toBe(3);
+        },
+    );
+
+    // Guards against callers that wait for their deadline, or come back too early, while the only target wants nothing.
+    test("makes the instance refuse at once and say when there is room, and is used again then", async () => {
+        await start([(socket, requests, id) => {
+            if (requests === 1) {
+                turnAway("1.2")(socket, requests, id);
+                return;
+            }
+            socket.write(responseText(id));
+        }]);
+        const first = await callFirst(filing);
+        const turnedAwayAt = performance.now();
+        const second = await callFirst(filing);
+        expect([first.status, second.status]).toEqual([503, 503]);
+        expect(second.ms).toBeLessThan(500);
+        for (const { headers } of [first, second]) {
+            expect(Number(headers["retry-after"])).toBeGreaterThan(0.6);
+            expect(Number(headers["retry-after"])).toBeLessThan(1.6);
+        }
+        await until(async () => (await callFirst(filing)).status === 200);
+        expect(performance.now() - turnedAwayAt).toBeGreaterThan(1_000);
+    });
+});
--- /dev/null
+++ b/test/replication/target-directory.property.test.ts
@@ -0,0 +1,121 @@
+import { createVirtualClock } from "@trefoilladder/clock";
+import { createTargetDirectory } from "@trefoilladder/replication";
+import type { TargetRecord } from "@trefoilladder/serving";
+import fc from "fast-check";
+import { targetRecord } from "../gateway/fixtures";
+import { silentLog } from "./silent-log";
+
+/** One thing that an instance learns, in any order: records, copies and answers may be late. */
+type Event =
+    | { kind: "record"; target: number; start: number; sequence: number; draining: boolean; }
+    | { kind: "drop"; target: number; }
+    | { kind: "copy"; targets: readonly number[]; start: number; sequence: number; }
+    | { kind: "leaving"; target: number; start: number; }
+    | { kind: "turned_away"; target: number; start: number; seconds: number; }
+    | { kind: "outage"; }
+    /** Time that passes, for one that stands still as well. */
+    | { kind: "time"; ms: number; }
+    | { kind: "restart"; };
+
+const targetCount = 3;
+const target = fc.nat(targetCount - 1);
+const start = fc.constantFrom(1_000, 2_000);
+const sequence = fc.integer({ min: 1, max: 4 });
+
+const event: fc.Arbitrary<Event> = fc.oneof(
+    fc.record({ kind: fc.constant("record" as const), target, start, sequence, draining: fc.boolean() }),
+    fc.record({ kind: fc.constant("drop" as const), target }),
+    fc.record({ kind: fc.constant("copy" as const), targets: fc.uniqueArray(target), start, sequence }),
+    fc.record({ kind: fc.constant("leaving" as const), target, start }),
+    fc.record({
+        kind: fc.constant("turned_away" as const),
+        target,
+        start,
+        seconds: fc.constantFrom(0.5, 1, 3, 10, Infinity),
+    }),
+    fc.record({ kind: fc.constant("outage" as const) }),
+    fc.record({ kind: fc.constant("time" as const), ms: fc.integer({ min: 1, max: 4_000 }) }),
+    fc.record({ kind: fc.constant("restart" as const) }),
+);
+
+/** Longest time in milliseconds for which a target is left alone. */
+const longestMs = 300_000;
+
+/** What must not be: an incarnation that said that it leaves, or wants nothing for now, gets requests. */
+function createOracle() {
+    const left = new Set<string>();
+    const until = new Map<string, number>();
+    const keyOf = (id: string, startedAt: number) => `${id}/${startedAt}`;
+    return {
+        leaving: (id: string, startedAt: number) => void left.add(keyOf(id, startedAt)),
+        turnedAway(id: string, startedAt: number, at: number) {
+            until.set(keyOf(id, startedAt), Math.max(until.get(keyOf(id, startedAt)) ?? 0, at));
+        },
+        forbids: ({ id, startedAt }: TargetRecord, now: number) =>
+            left.has(keyOf(id, startedAt)) || now < (until.get(keyOf(id, startedAt)) ?? 0),
+    };
+}
+
+async function play(events: readonly Event[]): Promise<void> {
+    const clock = createVirtualClock();
+    let graceUntil = -Infinity;
+    const open = () =>
+        createTargetDirectory({
+            clock,
+            log: silentLog(),
+            lapseGraceUntil: () => graceUntil,
+            removed: () => undefined,
+            leaving: () => undefined,
+        });
+    let directory = open();
+    let oracle = createOracle();
+    const put = (index: number, startedAt: number, fields: Partial<TargetRecord>) =>
+        directory.put(targetRecord(index, 80 + index, { startedAt, ...fields }));
+    for (const step of events) {
+        switch (step.kind) {
+            case "record":
+                put(step.target, step.start, { sequence: step.sequence, draining: step.draining });
+                break;
+            case "drop":
+                directory.drop(`target-${step.target}`);
+                break;
+            case "copy":
+                step.targets.forEach(index => put(index, step.start, { sequence: step.sequence }));
+                directory.retain(new Set(step.targets.map(index => `target-${index}`)));
+                break;
+            case "leaving":
+                directory.noteLeaving({ id: `target-${step.target}`, startedAt: step.start });
+                oracle.leaving(`target-${step.target}`, step.start);
+                break;
+            case "turned_away":
+                directory.noteTurnedAway({ id: `target-${step.target}`, startedAt: step.start }, step.seconds * 1_000);
+                oracle.turnedAway(
+                    `target-${step.target}`,
+                    step.start,
+                    clock.now() + Math.min(longestMs, step.seconds * 1_000),
+                );
+                break;
+            case "outage":
+                graceUntil = clock.now() + 2_200;
+                break;
+            case "time":
+                await clock.advance(step.ms);
+                break;
+            case "restart":
+                directory = open();
+                oracle = createOracle();
+                break;
+        }
+        for (const served of directory.serving("dossier")) {
+            expect(oracle.forbids(served, clock.now())).toBe(false);
+            expect(directory.isServing(served)).toBe(true);
+        }
+    }
+}
+
+describe("who takes new requests", () => {
+    // Guards against a target that said that it leaves, or turned this instance away, and gets requests after late records or copies.
+    test("is never one that said it leaves or wants nothing for now, in any order of what is learnt", async () => {
+        await fc.assert(fc.asyncProperty(fc.array(event, { maxLength: 40 }), play), { numRuns: 1_000, seed: 20261205 });
+    }, 60_000);
+});
--- a/test/replication/target-directory.test.ts
+++ b/test/replication/target-directory.test.ts
@@ -91,7 +91,7 @@
         directory.drop("target-0");
         directory.put(targetRecord(0, 80, { sequence: 3 }));
         expect(serving()).toEqual([]);
-        expect(directory.isServing("target-0")).toBe(false);
+        expect(directory.isServing(targetRecord(0, 80))).toBe(false);
     });
 
     test("begins anew with a later start and with another target at its address", () => {
--- a/test/upstream/connection-pool.test.ts
+++ b/test/upstream/connection-pool.test.ts
@@ -155,4 +155,15 @@
         await start(socket => socket.resetAndDestroy());
         expect(await exchange(pool, 70_000, "a")).toMatchObject({ failure: "unreachable" });
     });
+
+    // Guards against requests that wait for their connection while the target turns the instance away.
+    test("sends nothing when the request is no longer wanted once the connection is open", async () => {
+        const target = await startScriptedTarget((socket, _, id) => void socket.write(responseText(id)));
+        const pool = createPool();
+        const outcome = await exchange(pool, target.port, "a", 1_000, () => false);
+        expect(outcome).toMatchObject({ failure: "withdrawn", body: "" });
+        expect(target.requests).toEqual([]);
+        pool.close();
+        await target.close();
+    });
 });
--- a/test/upstream/scripted-target.ts
+++ b/test/upstream/scripted-target.ts
@@ -72,12 +72,19 @@
 }
 
 /** Sends a request and waits for what comes of it. */
-export function exchange(pool: ConnectionPool, port: number, id: string, maxIdleMs = 1_000): Promise<ExchangeOutcome> {
+export function exchange(
+    pool: ConnectionPool,
+    port: number,
+    id: string,
+    maxIdleMs = 1_000,
+    isWanted = () => true,
+): Promise<ExchangeOutcome> {
     return new Promise(resolve => {
         const outcome: ExchangeOutcome = { body: "", skipped: [] };
         pool.exchange({ id: "t", address: "127.0.0.1", port }, maxIdleMs, {
             id,
             method: "GET",
+            isWanted,
             head: () => `GET / HTTP/1.1\r\nHost: h\r\nRequest-Id: ${id}\r\n\r\n`,
             writeBody: writer => writer.end(),
         }, {
