--- a/test/soak/soak-fleet.ts
+++ b/test/soak/soak-fleet.ts
@@ -1,7 +1,7 @@
 import { spawn } from "node:child_process";
 import type { ChildProcess } from "node:child_process";
 import { once } from "node:events";
-import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { mkdtempSync, openSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { encodeRecord } from "../../platform/src/record-codec";
@@ -9,7 +9,7 @@
 import { startStoreStandIn } from "../users-platform/store-stand-in";
 import type { StoreStandIn } from "../users-platform/store-stand-in";
 import { startSoakTarget } from "./soak-target";
-import type { SoakTarget } from "./soak-target";
+import type { SoakTarget, TargetListener } from "./soak-target";
 
 /** One gateway and the process that runs for it now. */
 export interface SoakGateway {
@@ -33,6 +33,8 @@
     callersPort: number;
     /** Publishes a configuration with these keys, and with further routes that nobody asks for. */
     publish(keys: readonly string[], furtherRoutes?: number): void;
+    /** Registers a target as started at a time in milliseconds. */
+    register(target: SoakTarget, startedAt: number): void;
     /**
      * Waits for the end of a process that was told to end, and starts its gateway again. Returns false when the process had
      * to be killed because it did not end by itself.
@@ -41,6 +43,10 @@
     close(): Promise<void>;
 }
 
+/** Folder for the logs of the gateways; without one they are dropped. */
+const logFolder = process.env["SOAK_LOGS"];
+/** Start of each target, in milliseconds. */
+export const firstStart = 1_000;
 /** Time within which a stopped process ends, its stop time and one pause included, in milliseconds. */
 const endTimeoutMs = 6_000;
 
@@ -65,15 +71,15 @@
     return { ResourceType: "Routes", Metadata: { Name: name }, Spec: spec };
 }
 
-/** Starts gateways at loopback addresses of their own; `ran` is called for each request that a target begins to run. */
+/** Starts gateways at loopback addresses of their own. */
 export async function startSoakFleet(
     sizes: SoakSizes,
-    ran: (request: string, method: string, key: unknown) => void,
+    listener: TargetListener,
 ): Promise<SoakFleet> {
     const folder = mkdtempSync(join(tmpdir(), "soak-"));
     const store = await startStoreStandIn();
     const targets = await Promise.all(
-        Array.from({ length: sizes.targets }, (_, index) => startSoakTarget(`t-${index}`, ran)),
+        Array.from({ length: sizes.targets }, (_, index) => startSoakTarget(`t-${index}`, listener)),
     );
     const [callersPort, readinessPort, peersPort, meshPort, metricsPort] = await Promise.all(
         Array.from({ length: 5 }, freePort),
@@ -112,18 +118,17 @@
             metrics: { port: metricsPort, path: "/metrics" },
             stopSeconds: 3,
             budget: { ratio: 0.2, reserve: 60 },
-            logLevel: "warn",
+            logLevel: logFolder === undefined ? "warn" : "info",
         };
         const path = join(folder, `${host}.yaml`);
         writeFileSync(path, JSON.stringify(settings));
         return spawn(process.execPath, ["dist/trefoilladder-gateway.js"], {
             env: { TREFOILLADDER_NODE_FILE: path },
-            stdio: ["ignore", "ignore", "inherit"],
+            stdio: ["ignore", logFolder === undefined ? "ignore" : openSync(join(logFolder, host), "a"), "inherit"],
         });
     }
 
-    publish(["key-1"]);
-    targets.forEach(({ id, port }) =>
+    function register({ id, port }: SoakTarget, startedAt: number): void {
         put("keyed.servers", id, {
             Service: "soak",
             Address: `127.0.0.1:${port}`,
@@ -133,9 +138,12 @@
             State: "ready",
             ColdRemainingMs: 0,
             Sequence: 1,
-            born: 1_000,
-        })
-    );
+            born: startedAt,
+        });
+    }
+
+    publish(["key-1"]);
+    targets.forEach(target => register(target, firstStart));
     const gateways: SoakGateway[] = Array.from({ length: sizes.gateways }, (_, index) => {
         const host = `127.0.1.${index + 1}`;
         return { host, process: start(host, index) };
@@ -147,6 +155,7 @@
         gateways,
         callersPort,
         publish,
+        register,
         async restart(index, ending) {
             const gateway = gateways[index]!;
             const killTimer = setTimeout(() => ending.kill("SIGKILL"), endTimeoutMs);
--- a/test/soak/soak-target.ts
+++ b/test/soak/soak-target.ts
@@ -12,6 +12,8 @@
     shed: "shed",
     /** Runs the request and loses the answer. */
     lost: "lost",
+    /** Turns requests away and says for how long it wants none. */
+    turnAway: "turnAway",
 } as const;
 
 /** One of the faults. */
@@ -22,19 +24,34 @@
     id: string;
     port: number;
     fault: TargetFault;
+    /** Whether all answers say that the target leaves. */
+    isLeaving: boolean;
     close(): void;
 }
 
+/** What a target tells of the requests that it gets. */
+export interface TargetListener {
+    /** Called for each request that it begins to run. */
+    ran(request: string, method: string, key: unknown): void;
+    /** Called for each request that arrives, run or not. */
+    arrived(target: string, request: string): void;
+    /** Called when a request is turned away and told for how long the target wants nothing, in milliseconds. */
+    turnedAway(target: string, request: string, forMs: number): void;
+}
+
+/** Time for which a target wants nothing when it turns requests away, in milliseconds. */
+const turnedAwayMs = 2_000;
+
 /** Time that a request takes at a target, in milliseconds. */
 const workMs = 20;
 
-/** Starts a target; `ran` is called with the id and method of each request that it begins to run. */
+/** Starts a target. */
 export async function startSoakTarget(
     id: string,
-    ran: (request: string, method: string, key: unknown) => void,
+    listener: TargetListener,
 ): Promise<SoakTarget> {
     const run = (incoming: IncomingMessage) =>
-        ran(String(incoming.headers["request-id"]), incoming.method ?? "", incoming.headers["authorization"]);
+        listener.ran(String(incoming.headers["request-id"]), incoming.method ?? "", incoming.headers["authorization"]);
     const answer = (incoming: IncomingMessage, outgoing: ServerResponse, status: number) =>
         setTimeout(() => {
             const requestId = String(incoming.headers["request-id"]);
@@ -52,6 +69,10 @@
         },
         reset: incoming => void incoming.socket.resetAndDestroy(),
         hang: incoming => run(incoming),
+        turnAway(incoming, outgoing) {
+            listener.turnedAway(id, String(incoming.headers["request-id"]), turnedAwayMs);
+            outgoing.writeHead(503, { "not-executed": "1", "retry-after": String(turnedAwayMs / 1_000) }).end();
+        },
         shed: (_, outgoing) => void outgoing.writeHead(503, { "not-executed": "1" }).end(),
         lost(incoming) {
             run(incoming);
@@ -64,6 +85,11 @@
             outgoing.writeHead(421).end();
             return;
         }
+        const requestId = String(incoming.headers["request-id"]);
+        listener.arrived(id, requestId);
+        if (target.isLeaving) {
+            outgoing.setHeader("server-leaving", "1");
+        }
         incoming.resume();
         incoming.on("end", () => handlers[target.fault](incoming, outgoing));
     }).listen(0, "127.0.0.1");
@@ -72,6 +98,7 @@
         id,
         port: (server.address() as AddressInfo).port,
         fault: targetFault.none,
+        isLeaving: false,
         close() {
             server.close();
             server.closeAllConnections();
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -1,9 +1,12 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { createRandomSource } from "../../packages/routing/src/random-source";
 import { call, until } from "../gateway/caller";
-import { startSoakFleet } from "./soak-fleet";
+import { createNoticeCheck } from "./notice-check";
+import type { NoticeCheck } from "./notice-check";
+import { firstStart, startSoakFleet } from "./soak-fleet";
 import type { SoakFleet, SoakSizes } from "./soak-fleet";
 import { targetFault } from "./soak-target";
+import type { TargetListener } from "./soak-target";
 
 /**
  * Seeds that failed once; they are played in each run.
@@ -31,6 +34,8 @@
 ];
 /** Interval of large configurations, in milliseconds. */
 const largeIntervalMs = 1_500;
+/** Distance between the seeds of the faults and of the callers. */
+const callerSeedOffset = 1_000_000;
 /** Time after which a withdrawn key must not work, in milliseconds. */
 const revokedAfterMs = 5_000;
 
@@ -38,34 +43,55 @@
     /** Runs of each request that may run once. */
     runs: Map<string, number>;
     broken: string[];
+    /** Faults in their order, with what they hit. */
+    faults: string[];
     served: number;
     /** When the first key was withdrawn. */
     revokedAt: number;
+    notices: NoticeCheck;
 }
 
 type Fault = (fleet: SoakFleet, pick: (count: number) => number, kept: Promises) => Promise<void>;
 
+/** Time in milliseconds after which a target that leaves starts again under its id. */
+const leavingMs = 4_000;
+
 const faults: Record<string, Fault> = {
-    async kill(fleet, pick) {
+    async kill(fleet, pick, kept) {
         const index = pick(fleet.gateways.length);
-        const { process: child } = fleet.gateways[index]!;
+        const { host, process: child } = fleet.gateways[index]!;
+        kept.notices.disturb(host);
         child.kill("SIGKILL");
         await delay(300);
         await fleet.restart(index, child);
     },
     async stop(fleet, pick, kept) {
         const index = pick(fleet.gateways.length);
-        const { process: child } = fleet.gateways[index]!;
+        const { host, process: child } = fleet.gateways[index]!;
         child.kill("SIGTERM");
+        void fleet.restart(index, child).then(() => kept.notices.disturb(host));
         if (!await fleet.restart(index, child)) {
             kept.broken.push(`${fleet.gateways[index]!.host} did not end after a planned stop`);
         }
     },
-    async pause(fleet, pick) {
-        const { process: child } = fleet.gateways[pick(fleet.gateways.length)]!;
+    async pause(fleet, pick, kept) {
+        const { host, process: child } = fleet.gateways[pick(fleet.gateways.length)]!;
         child.kill("SIGSTOP");
         await delay(1_200);
         child.kill("SIGCONT");
+        kept.notices.disturb(host);
+    },
+    async leave(fleet, pick, kept) {
+        const index = pick(fleet.targets.length);
+        const target = fleet.targets[index]!;
+        if (target.isLeaving) {
+            return;
+        }
+        target.isLeaving = true;
+        await delay(leavingMs);
+        target.isLeaving = false;
+        kept.notices.restarted(target.id);
+        fleet.register(target, Math.round(firstStart + performance.now()));
     },
     async target(fleet, pick) {
         const kinds = Object.values(targetFault);
@@ -86,9 +112,9 @@
 /** Starts a fleet that ends with its test, also when the test times out. */
 async function openFleet(
     fleetSizes: SoakSizes,
-    ran: (request: string, method: string, key: unknown) => void,
+    listener: TargetListener,
 ): Promise<SoakFleet> {
-    open = await startSoakFleet(fleetSizes, ran);
+    open = await startSoakFleet(fleetSizes, listener);
     return open;
 }
 
@@ -110,6 +136,7 @@
         const id = `s${seed}-${number}-${Math.floor(next() * 1e9)}`;
         const key = next() < 0.1 ? "key-1" : "key-2";
         const sentAt = performance.now();
+        kept.notices.sent(id, host);
         const path = unsafe ? "/filing/1" : "/lookup/1";
         const request = {
             host: "soak.example",
@@ -133,13 +160,18 @@
     result: { status: number; body: string; complete: boolean; headers: Record<string, unknown>; },
 ): void {
     const { id, key, sentAt, unsafe } = sent;
+    if (result.headers["server-leaving"] === "1") {
+        const target = String(result.headers["response-signature"]).split(".")[0]!;
+        kept.notices.passedOnLeaving(target, id);
+    }
     if (result.status === 200 && result.complete) {
         kept.served += 1;
         if (result.body !== `body of ${id}` || !String(result.headers["response-signature"]).endsWith(id)) {
             kept.broken.push(`${id} got another request's answer`);
         }
         if (key === "key-1" && sentAt > kept.revokedAt + revokedAfterMs) {
-            kept.broken.push(`${id} was served with a withdrawn key`);
+            const ageMs = Math.round(sentAt - kept.revokedAt);
+            kept.broken.push(`${id} was served with a withdrawn key ${ageMs} ms after its withdrawal`);
         }
     }
     if (unsafe && [408, 421, 429, 503].includes(result.status) && kept.runs.has(id)) {
@@ -156,16 +188,24 @@
 }
 
 async function playSeed(seed: number, fleetSizes: SoakSizes, isLarge = false): Promise<Promises> {
-    const source = createRandomSource(seed);
-    const next = () => source.next();
-    const kept: Promises = { runs: new Map(), broken: [], served: 0, revokedAt: Infinity };
-    const fleet = await openFleet(fleetSizes, (id, method, key) => {
-        if (key !== undefined) {
-            kept.broken.push(`${id} reached a target with its key`);
-        }
-        if (method === "POST") {
-            kept.runs.set(id, (kept.runs.get(id) ?? 0) + 1);
-        }
+    const faultSource = createRandomSource(seed);
+    const next = () => faultSource.next();
+    // Callers draw from a source of their own, so that the order of faults follows from the seed alone.
+    const callerSource = createRandomSource(seed + callerSeedOffset);
+    const broken: string[] = [];
+    const notices = createNoticeCheck({ now: () => performance.now(), broken });
+    const kept: Promises = { runs: new Map(), broken, faults: [], served: 0, revokedAt: Infinity, notices };
+    const fleet = await openFleet(fleetSizes, {
+        ran(id, method, key) {
+            if (key !== undefined) {
+                kept.broken.push(`${id} reached a target with its key`);
+            }
+            if (method === "POST") {
+                kept.runs.set(id, (kept.runs.get(id) ?? 0) + 1);
+            }
+        },
+        arrived: notices.arrived,
+        turnedAway: notices.turnedAway,
     });
     fleet.publish(["key-1", "key-2"]);
     for (const { host } of fleet.gateways) {
@@ -176,12 +216,17 @@
     fleet.publish(["key-2"], isLarge ? furtherRoutes : 0);
     kept.revokedAt = performance.now();
     const endsAt = performance.now() + lengthMs;
-    const callers = Array.from({ length: 3 }, () => sendRequests(fleet, kept, next, endsAt, seed));
+    const callers = Array.from({ length: 3 }, () => sendRequests(fleet, kept, () => callerSource.next(), endsAt, seed));
     const names = Object.keys(faults);
+    const picked: number[] = [];
+    const pick = (count: number) => picked[picked.push(Math.floor(next() * count)) - 1]!;
     const running: Promise<void>[] = isLarge ? [publishLarge(fleet, endsAt)] : [];
     while (performance.now() < endsAt - 2_000) {
         const name = names[Math.floor(next() * names.length)]!;
-        running.push(faults[name]!(fleet, count => Math.floor(next() * count), kept));
+        const at = Math.round(performance.now() - kept.revokedAt);
+        running.push(faults[name]!(fleet, count => pick(count), kept));
+        kept.faults.push(`${at} ms ${name} ${picked.join(",")}`);
+        picked.length = 0;
         await delay(300 + 900 * next());
     }
     await Promise.all([...callers, ...running]);
@@ -194,10 +239,16 @@
     return kept;
 }
 
+/** Fails with the faults that were played when a promise was broken. */
+function expectNothingBroken(broken: readonly string[], played: readonly string[]): void {
+    expect({ broken, played: broken.length > 0 ? played : [] }).toEqual({ broken: [], played: [] });
+}
+
 describe("fault soak of real processes", () => {
     // Guards against a play that never ends: the second restart waited for the process that the first had started.
     test("restarts a gateway once when a stop and a kill overlap", async () => {
-        const fleet = await openFleet(sizes, () => undefined);
+        const silent = () => undefined;
+        const fleet = await openFleet(sizes, { ran: silent, arrived: silent, turnedAway: silent });
         const { process: child } = fleet.gateways[0]!;
         child.kill("SIGTERM");
         child.kill("SIGKILL");
@@ -211,8 +262,8 @@
     test.each([1, ...regressionSeeds, ...extraSeeds])(
         "keeps its promises with seed %d",
         async seed => {
-            const { broken, served } = await playSeed(seed, sizes);
-            expect(broken).toEqual([]);
+            const { broken, faults: played, served } = await playSeed(seed, sizes);
+            expectNothingBroken(broken, played);
             expect(served).toBeGreaterThan(100);
         },
         60_000,
@@ -220,15 +271,15 @@
 
     // Guards against withdrawn keys, doubled requests and false refusals while digests go through instances that faults hit.
     test.each(relayedSeeds)("keeps its promises with relays and seed %d", async seed => {
-        const { broken, served } = await playSeed(seed, relayedSizes);
-        expect(broken).toEqual([]);
+        const { broken, faults: played, served } = await playSeed(seed, relayedSizes);
+        expectNothingBroken(broken, played);
         expect(served).toBeGreaterThan(100);
     }, 90_000);
 
     // Guards against the late configuration of incident inc1 while the instances that hand it on are killed, paused and stopped.
     test.each(largeSeeds)("keeps its promises with large configurations and seed %d", async seed => {
-        const { broken, served } = await playSeed(seed, relayedSizes, true);
-        expect(broken).toEqual([]);
+        const { broken, faults: played, served } = await playSeed(seed, relayedSizes, true);
+        expectNothingBroken(broken, played);
         expect(served).toBeGreaterThan(100);
     }, 90_000);
 });
