Take the wait of a long poll for no outage of the store

Change: the answer to a call counts from when the call began. Test: failed before (target-1 still in use 1 s after its drop at an instance without others), passes now.

--- a/packages/gateway/src/store-streams.ts
+++ b/packages/gateway/src/store-streams.ts
@@ -134,7 +134,7 @@
         stream: stream.targets,
         pauseMs: targetsPauseMs,
         apply: targetRecords.apply,
-        answered: () => outage.noteAnswer(clock.now()),
+        answered: calledAt => outage.noteAnswer(clock.now(), calledAt),
         readRecords: (from, batch) => void push(stream.targets, from, batch),
     });
 
--- a/packages/replication/src/store-outage.ts
+++ b/packages/replication/src/store-outage.ts
@@ -12,12 +12,13 @@
 
 /** What an instance knows of the outages of one stream of the store. */
 export interface StoreOutage {
-    /** Notes that the store answered this instance or another one, at a monotonic time in milliseconds. */
-    noteAnswer(at: number): void;
+    /**
+     * Notes that the store answered this instance or another one, at a monotonic time in milliseconds; it was there since `since`, when
+     * the answer is that to a call which waited.
+     */
+    noteAnswer(at: number, since?: number): void;
     /** Monotonic time in milliseconds at which the last outage ended; -Infinity when none is known. */
     readonly endedAt: number;
-    /** Returns the time in milliseconds since the last known answer. */
-    silentMs(now: number): number;
 }
 
 /**
@@ -32,18 +33,17 @@
     let endedAt = -Infinity;
 
     return {
-        noteAnswer(at) {
-            const silentMs = at - answeredAt;
-            if (silentMs <= 0) {
+        noteAnswer(at, since = at) {
+            if (at <= answeredAt) {
                 return;
             }
+            const silentMs = since - answeredAt;
             answeredAt = at;
             if (silentMs > minOutageMs) {
                 endedAt = at;
                 log.belief("store_returned", { silentMs: Math.round(silentMs) });
             }
         },
-        silentMs: at => at - answeredAt,
         get endedAt() {
             return endedAt;
         },
--- a/packages/replication/src/stream-follower.ts
+++ b/packages/replication/src/stream-follower.ts
@@ -61,8 +61,8 @@
     fetchMissing?(): Promise<unknown>;
     /** Called when an answer confirms the stream's end that other instances may wait for. */
     confirmed?(): void;
-    /** Called for each answer of the store. */
-    answered?(): void;
+    /** Called for each answer of the store with the monotonic time in milliseconds at which the call began. */
+    answered?(calledAt: number): void;
 }
 
 /** Interval in milliseconds in which an instance that is no reader looks whether it has become one. */
@@ -96,6 +96,7 @@
     }
 
     async function step(signal: AbortSignal): Promise<StoreFailure | undefined> {
+        const calledAt = clock.now();
         const current = createStoreCall(clock);
         call = current;
         const stop = () => current.abort();
@@ -110,7 +111,7 @@
         if (result.isErr()) {
             return result.error;
         }
-        noteAnswer();
+        noteAnswer(calledAt);
         if (nextOffset !== from) {
             // Another instance's records came first; what follows them is read next.
             log.belief("read_overtaken", { stream, from, applied: nextOffset, to: result.value.nextOffset });
@@ -132,13 +133,13 @@
         return undefined;
     }
 
-    function noteAnswer(): void {
+    function noteAnswer(calledAt: number): void {
         answeredAt = clock.now();
         if (failures > 0) {
             log.lifecycle("dependency_regained", { dependency: "store", stream, failures });
             failures = 0;
         }
-        options.answered?.();
+        options.answered?.(calledAt);
     }
 
     function applyBatch({ records, nextOffset: next }: RecordBatch, isWhole: boolean, source: string): void {
--- a/test/gateway/store-streams.test.ts
+++ b/test/gateway/store-streams.test.ts
@@ -150,8 +150,8 @@
     };
 }
 
-async function startWithTwoTargets() {
-    const trial = startStreams();
+async function startWithTwoTargets(others?: number) {
+    const trial = startStreams(others);
     trial.append(encode(targetRecord(0, 80)));
     trial.append(encode(targetRecord(1, 81)));
     await trial.pass(3_000);
@@ -173,6 +173,16 @@
         await trial.stop();
     });
 
+    // Guards against an instance without others that takes the wait of its long poll for an outage.
+    test("is in force at once at an instance without others whose read waited for long", async () => {
+        const trial = await startWithTwoTargets(0);
+        await trial.pass(9_000);
+        trial.append({ key: "target-1", value: undefined });
+        await trial.pass(appliedMs);
+        expect(trial.serving()).toEqual(["target-0"]);
+        await trial.stop();
+    });
+
     test("is not believed for two seconds after the store was away from all instances", async () => {
         const trial = await startWithTwoTargets();
         trial.refuse({ isAway: true });
--- a/test/replication/store-outage.test.ts
+++ b/test/replication/store-outage.test.ts
@@ -15,7 +15,6 @@
         const events: string[] = [];
         const outage = createStoreOutage({ now: 0, log: silentLog(events) });
         outage.noteAnswer(1_000);
-        expect(outage.silentMs(5_500)).toBe(4_500);
         outage.noteAnswer(5_500);
         // Told late by an instance that had its answer before.
         outage.noteAnswer(5_200);
@@ -24,6 +23,15 @@
         expect(events).toEqual(["store_returned"]);
     });
 
+    test("did not happen while a call waited for its answer", () => {
+        const outage = createStoreOutage({ now: 0, log: silentLog() });
+        outage.noteAnswer(100);
+        outage.noteAnswer(20_000, 400);
+        expect(outage.endedAt).toBe(-Infinity);
+        outage.noteAnswer(30_000, 22_500);
+        expect(outage.endedAt).toBe(30_000);
+    });
+
     // Guards against an instance that starts while the store is away and takes its first answer for no news.
     test("ends with the first answer to an instance that started in it", () => {
         const outage = createStoreOutage({ now: 1_000, log: silentLog() });
