Split what targets say of themselves from the directory

The notices of leaving and of turning away have their own module; the directory decides with them. A request that waits for its connection is withdrawn as well when the target has started again meanwhile (its record names another start): the new test failed before (true in place of false) and passes.

--- a/packages/replication/src/index.ts
+++ b/packages/replication/src/index.ts
@@ -1,3 +1,4 @@
+export type { Incarnation } from "./incarnation-notices";
 export { StoreFailure, storeProblem, stream } from "./record-store";
 export type { KeyedRecord, RecordBatch, RecordStore, Stream } from "./record-store";
 export { createStoreOutage, lapseGraceUntil } from "./store-outage";
@@ -7,4 +8,4 @@
 export { createStreamFollower } from "./stream-follower";
 export type { StreamFollower } from "./stream-follower";
 export { createTargetDirectory } from "./target-directory";
-export type { Incarnation, ListedTarget, TargetDirectory } from "./target-directory";
+export type { ListedTarget, TargetDirectory } from "./target-directory";
--- a/packages/replication/src/target-directory.ts
+++ b/packages/replication/src/target-directory.ts
@@ -5,6 +5,8 @@
 import type { Clock } from "@trefoilladder/clock";
 import type { TargetRecord } from "@trefoilladder/serving";
 import type { DecisionLog } from "@trefoilladder/telemetry";
+import { createIncarnationNotices } from "./incarnation-notices";
+import type { Incarnation } from "./incarnation-notices";
 
 /** A target as it was last heard of. */
 export interface ListedTarget extends TargetRecord {
@@ -12,9 +14,6 @@
     coldUntil: number;
 }
 
-/** One start of a target. */
-export type Incarnation = Pick<TargetRecord, "id" | "startedAt">;
-
 /** The listed targets. */
 export interface TargetDirectory {
     /** Applies what a target said last. An older record of the same incarnation changes nothing; returns false for one. */
@@ -45,12 +44,6 @@
 /** Dropped targets that are remembered; the oldest are forgotten first. */
 const maxDropped = 4_096;
 
-/** Incarnations that said that they leave and are remembered, about as many as there are targets; the oldest are forgotten first. */
-const maxLeaving = 32_768;
-
-/** Longest time in milliseconds for which a target may turn an instance away; a faulty one may say hours. */
-const maxTurnedAwayMs = 300_000;
-
 /** What the directory needs. */
 export interface TargetDirectoryParts {
     clock: Clock;
@@ -63,10 +56,6 @@
     leaving(id: string): void;
 }
 
-function keyOf({ id, startedAt }: Incarnation): string {
-    return `${id}/${startedAt}`;
-}
-
 /** Creates an empty directory. */
 export function createTargetDirectory(parts: TargetDirectoryParts): TargetDirectory {
     const { clock, log } = parts;
@@ -75,23 +64,9 @@
     const lapsed = new Map<string, number>();
     /** Last records of dropped targets, which a late copy of them must not bring back. */
     const dropped = new Map<string, TargetRecord>();
-    /** Incarnations that said in an answer that they leave. */
-    const leaving = new Set<string>();
-    /** Monotonic times in milliseconds at which the incarnations that turned this instance away want requests again. */
-    const turnedAway = new Map<string, number>();
-    /** Monotonic time in milliseconds from which on no target turns this instance away. */
-    let noneTurnedAwayFrom = -Infinity;
+    const notices = createIncarnationNotices(() => clock.now());
     let byService = new Map<string, ListedTarget[]>();
 
-    function isLeaving(target: Incarnation): boolean {
-        return leaving.has(keyOf(target));
-    }
-
-    /** Returns the time in milliseconds for which a target wants nothing from this instance. */
-    function msTurnedAway(target: Incarnation): number {
-        return Math.max(0, (turnedAway.get(keyOf(target)) ?? -Infinity) - clock.now());
-    }
-
     function isOlder(record: TargetRecord, known: TargetRecord): boolean {
         return record.startedAt < known.startedAt
             || record.startedAt === known.startedAt && record.sequence < known.sequence;
@@ -126,7 +101,7 @@
     function rebuild(): void {
         byService = new Map();
         for (const target of targets.values()) {
-            if (target.draining || isLeaving(target) || isReplaced(target)) {
+            if (target.draining || notices.isLeaving(target) || isReplaced(target)) {
                 continue;
             }
             const list = byService.get(target.service) ?? [];
@@ -200,14 +175,9 @@
             [...targets.keys()].filter(id => !ids.has(id)).forEach(drop);
         },
         noteLeaving(target) {
-            if (isLeaving(target)) {
+            if (!notices.noteLeaving(target)) {
                 return;
             }
-            leaving.add(keyOf(target));
-            const oldest = leaving.keys().next();
-            if (leaving.size > maxLeaving && oldest.done !== true) {
-                leaving.delete(oldest.value);
-            }
             const listed = targets.get(target.id);
             log.belief("target_leaving", {
                 target: target.id,
@@ -221,31 +191,33 @@
         },
         get: id => targets.get(id),
         noteTurnedAway(target, forMs) {
-            const now = clock.now();
-            const until = now + Math.min(maxTurnedAwayMs, forMs);
-            if (until <= Math.max(now, turnedAway.get(keyOf(target)) ?? -Infinity)) {
-                return;
+            const addedMs = notices.noteTurnedAway(target, forMs);
+            if (addedMs > 0) {
+                const { id, startedAt } = target;
+                log.belief("target_turned_away", {
+                    target: id,
+                    startedAt,
+                    askedMs: forMs,
+                    forMs: Math.round(notices.msTurnedAway(target)),
+                });
             }
-            [...turnedAway].filter(([, end]) => end <= now).forEach(([key]) => turnedAway.delete(key));
-            turnedAway.set(keyOf(target), until);
-            noneTurnedAwayFrom = Math.max(noneTurnedAwayFrom, until);
-            const { id, startedAt } = target;
-            log.belief("target_turned_away", { target: id, startedAt, askedMs: forMs, forMs: Math.round(until - now) });
         },
         isKept(id) {
             const target = targets.get(id);
-            return target !== undefined && !target.draining && !isLeaving(target);
+            return target !== undefined && !target.draining && !notices.isLeaving(target);
         },
         isServing(target) {
-            return targets.get(target.id)?.draining === false && !isLeaving(target) && msTurnedAway(target) === 0;
+            const listed = targets.get(target.id);
+            const isSame = listed?.startedAt === target.startedAt && !listed.draining;
+            return isSame && !notices.isLeaving(target) && notices.msTurnedAway(target) === 0;
         },
         msUntilServing(service) {
-            const waits = (byService.get(service) ?? []).map(msTurnedAway);
+            const waits = (byService.get(service) ?? []).map(notices.msTurnedAway);
             return waits.length === 0 ? undefined : Math.min(...waits);
         },
         serving(service) {
             const listed = byService.get(service) ?? [];
-            return clock.now() >= noneTurnedAwayFrom ? listed : listed.filter(target => msTurnedAway(target) === 0);
+            return notices.hasTurnedAway() ? listed.filter(target => notices.msTurnedAway(target) === 0) : listed;
         },
         get size() {
             return targets.size;
--- a/test/replication/target-directory.test.ts
+++ b/test/replication/target-directory.test.ts
@@ -116,6 +116,14 @@
         expect(serving()).toEqual([]);
     });
 
+    // Guards against a request that was meant for an earlier start and reaches the next one, which may do other work.
+    test("is not sent what was meant for an earlier start", () => {
+        const { directory } = startDirectory();
+        directory.put(targetRecord(0, 80, { startedAt: 5_000 }));
+        expect(directory.isServing(targetRecord(0, 80, { startedAt: 1_000 }))).toBe(false);
+        expect(directory.isServing(targetRecord(0, 80, { startedAt: 5_000 }))).toBe(true);
+    });
+
     test("may be known by its answer before its record", () => {
         const { directory, serving } = startDirectory();
         directory.noteLeaving(targetRecord(0, 80));
