Tie a notice in the soak to the start of the target that got the request

The check was wrong: it took an answer of the earlier start, passed on some milliseconds after the next one, for a word of the next one. It goes by the start at which the request arrived now; the bound and what is checked for one start are as before.

--- a/test/soak/notice-check.ts
+++ b/test/soak/notice-check.ts
@@ -43,6 +43,13 @@
     const leaving = new Map<string, number>();
     const turnedAway = new Map<string, { from: number; until: number; late: number; }>();
     const disturbedAt = new Map<string, number>();
+    /** Number of times that a target has started again, now and when each request arrived there. */
+    const starts = new Map<string, number>();
+    const startsAtArrival = new Map<string, number>();
+
+    function startsOf(target: string): number {
+        return starts.get(target) ?? 0;
+    }
 
     /** Tells whether an instance was undisturbed since a time. */
     function holds(host: string, since: number): boolean {
@@ -77,6 +84,7 @@
         sent: (request, host) => void requests.set(request, { host, sentAt: now() }),
         arrived(target, request) {
             const sent = requests.get(request);
+            startsAtArrival.set(`${target} ${request}`, startsOf(target));
             if (sent !== undefined) {
                 const key = keyOf(target, sent);
                 checkLeaving(key, target, request, sent);
@@ -85,7 +93,8 @@
         },
         passedOnLeaving(target, request) {
             const sent = requests.get(request);
-            if (sent !== undefined) {
+            // An answer of an earlier start may be passed on after the next one; what it says holds for that start only.
+            if (sent !== undefined && startsAtArrival.get(`${target} ${request}`) === startsOf(target)) {
                 const key = keyOf(target, sent);
                 leaving.set(key, Math.min(now(), leaving.get(key) ?? Infinity));
             }
@@ -97,6 +106,7 @@
             }
         },
         restarted(target) {
+            starts.set(target, startsOf(target) + 1);
             const ofTarget = (key: string) => key.startsWith(`${target} `);
             [...leaving.keys()].filter(ofTarget).forEach(key => leaving.delete(key));
         },
