Make the lists of targets once for many changes, in time linear in their number

Cause: each record made all lists anew, and for each target looked at all others for its address: 65,025 steps a record, hundreds of records while targets are replaced. Change: a change only marks the lists; they are made when they are asked for, with the newest target of each address in a map.

--- a/packages/replication/src/target-directory.ts
+++ b/packages/replication/src/target-directory.ts
@@ -65,7 +65,8 @@
     /** Last records of dropped targets, which a late copy of them must not bring back. */
     const dropped = new Map<string, TargetRecord>();
     const notices = createIncarnationNotices(() => clock.now());
-    let byService = new Map<string, ListedTarget[]>();
+    /** Targets that may get requests; undefined after a change. */
+    let byService: Map<string, ListedTarget[]> | undefined;
 
     function isOlder(record: TargetRecord, known: TargetRecord): boolean {
         return record.startedAt < known.startedAt
@@ -87,27 +88,37 @@
         }
     }
 
-    /** Returns whether another target has taken over the address of a target. */
-    function isReplaced(target: ListedTarget): boolean {
-        for (const other of targets.values()) {
-            const sameAddress = other.address === target.address && other.port === target.port;
-            if (sameAddress && other.id !== target.id && other.startedAt > target.startedAt) {
-                return true;
+    /** Returns the target that started last at each address, which has taken it over from earlier ones. */
+    function newestByAddress(): Map<string, ListedTarget> {
+        const newest = new Map<string, ListedTarget>();
+        for (const target of targets.values()) {
+            const key = `${target.address}:${target.port}`;
+            if (target.startedAt >= (newest.get(key)?.startedAt ?? -Infinity)) {
+                newest.set(key, target);
             }
         }
-        return false;
+        return newest;
     }
 
-    function rebuild(): void {
-        byService = new Map();
+    function listByService(): Map<string, ListedTarget[]> {
+        const newest = newestByAddress();
+        const lists = new Map<string, ListedTarget[]>();
         for (const target of targets.values()) {
-            if (target.draining || notices.isLeaving(target) || isReplaced(target)) {
+            const isReplaced = newest.get(`${target.address}:${target.port}`)!.startedAt > target.startedAt;
+            if (target.draining || notices.isLeaving(target) || isReplaced) {
                 continue;
             }
-            const list = byService.get(target.service) ?? [];
+            const list = lists.get(target.service) ?? [];
             list.push(target);
-            byService.set(target.service, list);
+            lists.set(target.service, list);
         }
+        return lists;
+    }
+
+    /** Returns the listed targets of a service; the lists are made when they are asked for, once for many changes. */
+    function listedOf(service: string): readonly ListedTarget[] {
+        byService ??= listByService();
+        return byService.get(service) ?? [];
     }
 
     function remove(id: string, why: string): void {
@@ -125,7 +136,7 @@
                 startedAt: target.startedAt,
             });
             parts.removed(id);
-            rebuild();
+            byService = undefined;
         }
     }
 
@@ -167,7 +178,7 @@
             else if (record.draining) {
                 parts.leaving(record.id);
             }
-            rebuild();
+            byService = undefined;
             return true;
         },
         drop,
@@ -187,7 +198,7 @@
                 sequence: listed?.sequence,
             });
             parts.leaving(target.id);
-            rebuild();
+            byService = undefined;
         },
         get: id => targets.get(id),
         noteTurnedAway(target, forMs) {
@@ -212,11 +223,11 @@
             return isSame && !notices.isLeaving(target) && notices.msTurnedAway(target) === 0;
         },
         msUntilServing(service) {
-            const waits = (byService.get(service) ?? []).map(notices.msTurnedAway);
+            const waits = listedOf(service).map(notices.msTurnedAway);
             return waits.length === 0 ? undefined : Math.min(...waits);
         },
         serving(service) {
-            const listed = byService.get(service) ?? [];
+            const listed = listedOf(service);
             return notices.hasTurnedAway() ? listed.filter(target => notices.msTurnedAway(target) === 0) : listed;
         },
         get size() {
--- a/test/replication/target-directory.test.ts
+++ b/test/replication/target-directory.test.ts
@@ -56,6 +56,19 @@
         expect(serving()).toEqual(["target-1"]);
     });
 
+    // Guards against work that grows with the square of the number of targets for each record: a copy of 232 records held up an instance of
+    // laurel-gw-grown so that it heard of leaving targets seconds late. At this size such work does not end within the test's time.
+    test("lists and replaces as many targets as there are in two years", () => {
+        const { directory, serving } = startDirectory();
+        const size = 31_000;
+        for (const sequence of [1, 2]) {
+            for (let index = 0; index < size; index++) {
+                directory.put(targetRecord(index, index, { sequence }));
+            }
+            expect(serving()).toHaveLength(size);
+        }
+    });
+
     // Records lapse while the store is away and come back within about two seconds.
     test("keeps targets whose records lapsed in an outage until they had time to come back", async () => {
         const { clock, directory, serving, beginGrace } = startDirectory();
