--- a/packages/replication/src/index.ts
+++ b/packages/replication/src/index.ts
@@ -8,4 +8,4 @@
 export { createStreamFollower } from "./stream-follower";
 export type { StreamFollower } from "./stream-follower";
 export { createTargetDirectory } from "./target-directory";
-export type { ListedTarget, TargetDirectory } from "./target-directory";
+export type { ListedTarget, TargetDirectory, TargetDirectoryParts } from "./target-directory";
--- a/test/gateway/store-streams.test.ts
+++ b/test/gateway/store-streams.test.ts
@@ -1,6 +1,6 @@
 import { createVirtualClock } from "@trefoilladder/clock";
 import type { Digest, Peer } from "@trefoilladder/mesh";
-import { createTargetDirectory, StoreFailure, stream } from "@trefoilladder/replication";
+import { StoreFailure, stream } from "@trefoilladder/replication";
 import type { KeyedRecord, RecordBatch, RecordStore, Stream } from "@trefoilladder/replication";
 import type { TargetRecord } from "@trefoilladder/serving";
 import { err, ok } from "neverthrow";
@@ -10,6 +10,7 @@
 import type { GatewaySettings } from "../../packages/gateway/src/settings";
 import { createStoreStreams } from "../../packages/gateway/src/store-streams";
 import type { StoreStreams } from "../../packages/gateway/src/store-streams";
+import { openDirectory } from "../replication/open-directory";
 import { silentLog } from "../replication/silent-log";
 import { headers, targetRecord } from "./fixtures";
 
@@ -80,13 +81,7 @@
         targetsOffset: 0,
         outageEndedAt: -Infinity,
     } as Peer));
-    const directory = createTargetDirectory({
-        clock,
-        log,
-        lapseGraceUntil: () => streams.lapseGraceUntil(),
-        removed: () => undefined,
-        leaving: () => undefined,
-    });
+    const directory = openDirectory({ clock, log, lapseGraceUntil: () => streams.lapseGraceUntil() });
     const streams: StoreStreams = createStoreStreams({
         platform: {
             store: targets.store,
--- a/test/gateway/target-book.test.ts
+++ b/test/gateway/target-book.test.ts
@@ -1,6 +1,6 @@
 import { createVirtualClock } from "@trefoilladder/clock";
-import { createTargetDirectory } from "@trefoilladder/replication";
 import { createTargetBook } from "../../packages/gateway/src/target-book";
+import { openDirectory } from "../replication/open-directory";
 import { silentLog } from "../replication/silent-log";
 import { targetRecord } from "./fixtures";
 
@@ -8,13 +8,7 @@
 function openBook(size: number) {
     const clock = createVirtualClock();
     const log = silentLog();
-    const directory = createTargetDirectory({
-        clock,
-        log,
-        lapseGraceUntil: () => -Infinity,
-        removed: () => undefined,
-        leaving: () => undefined,
-    });
+    const directory = openDirectory({ clock, log });
     const targets = Array.from({ length: size }, (_, index) => targetRecord(index, 1));
     targets.forEach(target => directory.put(target));
     const counts = { urgent: 0 };
--- a/test/gateway/target-records.test.ts
+++ b/test/gateway/target-records.test.ts
@@ -1,21 +1,14 @@
-import { createVirtualClock } from "@trefoilladder/clock";
-import { createTargetDirectory } from "@trefoilladder/replication";
 import type { KeyedRecord } from "@trefoilladder/replication";
 import type { TargetRecord } from "@trefoilladder/serving";
 import { ok } from "neverthrow";
 import { createTargetRecords } from "../../packages/gateway/src/target-records";
+import { openDirectory } from "../replication/open-directory";
 import { silentLog } from "../replication/silent-log";
 import { targetRecord } from "./fixtures";
 
 function openRecords() {
     const log = silentLog();
-    const directory = createTargetDirectory({
-        clock: createVirtualClock(),
-        log,
-        lapseGraceUntil: () => -Infinity,
-        removed: () => undefined,
-        leaving: () => undefined,
-    });
+    const directory = openDirectory({ log });
     const decode = (_: string, bytes: Buffer) => ok(JSON.parse(bytes.toString()) as TargetRecord);
     return { directory, records: createTargetRecords({ decode, log, directory }) };
 }
--- a/test/limits/shared-limit.test.ts
+++ b/test/limits/shared-limit.test.ts
@@ -131,6 +131,9 @@
     lossEvery: 0,
 };
 
+/** A start of as many instances as on laurel-gw-grown, with the interval of their digests. */
+const startOfMany = { ...hotOrganisation, instances: 132, ratePerSecond: 86, burst: 86, digestMs: 600 };
+
 describe("shared limit", () => {
     // Guards against refusals within the limit: reports of one instance that a relay sent together, or in another order, were
     // taken for a rate of hundreds a second, which was assumed to go on.
@@ -183,12 +186,8 @@
         "holds from the start of 132 instances on (%o)",
         ({ restartAtMs }) => {
             const load = {
-                ...hotOrganisation,
-                instances: 132,
-                ratePerSecond: 86,
-                burst: 86,
+                ...startOfMany,
                 sentPerSecond: 86 * 3 / 132,
-                digestMs: 600,
                 ...restartAtMs === undefined ? {} : { restartAtMs },
             };
             expect(mostInWindow(replayStart(load), 5_000)).toBeLessThanOrEqual(allowedInWindow(load));
@@ -197,14 +196,7 @@
 
     // Guards against refusals within the limit by counting what others admitted twice.
     test("refuses hardly anybody within the limit when 132 instances start together", () => {
-        const load = {
-            ...hotOrganisation,
-            instances: 132,
-            ratePerSecond: 86,
-            burst: 86,
-            sentPerSecond: 86 * 0.75 / 132,
-            digestMs: 600,
-        };
+        const load = { ...startOfMany, sentPerSecond: 86 * 0.75 / 132 };
         const unlimited = { ...load, ratePerSecond: 1e6, burst: 1e6 };
         expect(replayStart(load).length).toBeGreaterThan(0.98 * replayStart(unlimited).length);
     });
--- a/test/mesh/digest-cost.bench.ts
+++ b/test/mesh/digest-cost.bench.ts
@@ -8,9 +8,9 @@
 import { createLimitGroup, createSharedLimit } from "@trefoilladder/limits";
 import { decodeBundle, encodeBundles, encodeDigest } from "@trefoilladder/mesh";
 import type { Digest } from "@trefoilladder/mesh";
-import { createTargetDirectory } from "@trefoilladder/replication";
 import { createTargetBook } from "../../packages/gateway/src/target-book";
 import { createRandomSource } from "../../packages/routing/src/random-source";
+import { openDirectory } from "../replication/open-directory";
 import { silentLog } from "../replication/silent-log";
 
 /** A fleet and its load. */
@@ -47,13 +47,7 @@
 function createBooks(load: FleetLoad, now: () => number) {
     const clock = createVirtualClock();
     const log = silentLog();
-    const directory = createTargetDirectory({
-        clock,
-        log,
-        lapseGraceUntil: () => -Infinity,
-        removed: () => undefined,
-        leaving: () => undefined,
-    });
+    const directory = openDirectory({ clock, log });
     for (let index = 0; index < load.targets; index++) {
         directory.put({
             id: `i-49d26d80${index}`,
--- a/test/replication/target-directory.property.test.ts
+++ b/test/replication/target-directory.property.test.ts
@@ -1,9 +1,8 @@
 import { createVirtualClock } from "@trefoilladder/clock";
-import { createTargetDirectory } from "@trefoilladder/replication";
 import type { TargetRecord } from "@trefoilladder/serving";
 import fc from "fast-check";
 import { targetRecord } from "../gateway/fixtures";
-import { silentLog } from "./silent-log";
+import { openDirectory } from "./open-directory";
 
 /** One thing that an instance learns, in any order: records, copies and answers may be late. */
 type Event =
@@ -59,14 +58,7 @@
 async function play(events: readonly Event[]): Promise<void> {
     const clock = createVirtualClock();
     let graceUntil = -Infinity;
-    const open = () =>
-        createTargetDirectory({
-            clock,
-            log: silentLog(),
-            lapseGraceUntil: () => graceUntil,
-            removed: () => undefined,
-            leaving: () => undefined,
-        });
+    const open = () => openDirectory({ clock, lapseGraceUntil: () => graceUntil });
     let directory = open();
     let oracle = createOracle();
     const put = (index: number, startedAt: number, fields: Partial<TargetRecord>) =>
--- a/test/replication/target-directory.test.ts
+++ b/test/replication/target-directory.test.ts
@@ -1,16 +1,14 @@
 import { createVirtualClock } from "@trefoilladder/clock";
-import { createTargetDirectory } from "@trefoilladder/replication";
 import { targetRecord } from "../gateway/fixtures";
-import { silentLog } from "./silent-log";
+import { openDirectory } from "./open-directory";
 
 function startDirectory() {
     const clock = createVirtualClock();
     const removed: string[] = [];
     const left: string[] = [];
     const outage = { graceUntil: -Infinity };
-    const directory = createTargetDirectory({
+    const directory = openDirectory({
         clock,
-        log: silentLog(),
         lapseGraceUntil: () => outage.graceUntil,
         removed: id => removed.push(id),
         leaving: id => left.push(id),
