Let a service recover whose few targets in use are overloaded

(2) A target without recent load reports was assumed to be as busy as the mean report, and most reports come from the busiest targets, so idle targets appeared full. (3) A suspected target got next to no requests until its evidence had decayed (from 0.98 to 0.3 in 6 s), while three in ten targets fail in turns.

Change: such a rejection is the outcome 'overloaded', which only its load report follows from; the mean is taken over targets, with reports that decay; a part of the idempotent requests probes suspected targets that showed no outcome for 0.5 s, while half of the retry budget is left.

--- a/packages/gateway/src/attempt-run.ts
+++ b/packages/gateway/src/attempt-run.ts
@@ -2,7 +2,7 @@
  * All attempts for one request: the first, retries after failures, and a hedged attempt in parallel to a late one.
  */
 
-import { attemptEnd, chooseTarget, explainedWaitMs, mayRetry, outcome } from "@trefoilladder/placement";
+import { attemptEnd, chooseProbe, chooseTarget, explainedWaitMs, mayRetry, outcome } from "@trefoilladder/placement";
 import type { AttemptEnd, RetryBudget } from "@trefoilladder/placement";
 import type { ListedTarget } from "@trefoilladder/replication";
 import type { Route } from "@trefoilladder/serving";
@@ -72,6 +72,9 @@
 /** Share of the retry budget that hedged attempts leave for retries after failures. */
 const hedgeReserveShare = 0.3;
 
+/** Share of the retry budget that must be left for a request to probe a suspected target. */
+const probeReserveShare = 0.5;
+
 /** Starts the attempts for a request. */
 export function startRun(parts: RunParts, options: RunOptions): AttemptRun {
     const { log, now } = parts;
@@ -118,7 +121,9 @@
         const candidates = parts.targetTracker.candidates(options.service, excluded);
         const canRetry = route.idempotent && options.bodyBuffered && arrivals + 1 < route.maxAttempts
             && retryBudget.hasTokens();
-        const chosen = chooseTarget(
+        const mayProbe = canRetry && arrivals === 0 && retryBudget.hasTokens(probeReserveShare);
+        const probed = mayProbe ? chooseProbe(candidates, parts.random) : undefined;
+        const chosen = probed ?? chooseTarget(
             candidates,
             { isRetryable: canRetry, responseKb: options.responseKb },
             parts.random,
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -2,8 +2,8 @@
  * One attempt at one target.
  */
 
-import { attemptEnd, outcome } from "@trefoilladder/placement";
-import type { AttemptEnd, Outcome } from "@trefoilladder/placement";
+import { attemptEnd, outcome, shedOutcome } from "@trefoilladder/placement";
+import type { AttemptEnd, LoadReport, Outcome } from "@trefoilladder/placement";
 import type { ListedTarget, TargetDirectory } from "@trefoilladder/replication";
 import type { DecisionLog } from "@trefoilladder/telemetry";
 import { exchangeFailureCode } from "@trefoilladder/upstream";
@@ -86,6 +86,7 @@
     let sentAt: number | undefined;
     let head: ResponseHead | undefined;
     let kind: ResponseKind | undefined;
+    let load: LoadReport | undefined;
     let chunks: Buffer[] = [];
     let size = 0;
     let stream: BodyStream | undefined;
@@ -118,6 +119,14 @@
         }
     }
 
+    function outcomeOf(failedKind: Exclude<ResponseKind, "usable">): Outcome | undefined {
+        if (failedKind === responseKind.notRun) {
+            return shedOutcome(load);
+        }
+        const isRequestFailure = failedKind === responseKind.failed && hasProcessed();
+        return isRequestFailure ? outcome.requestFailure : failedKinds[failedKind].outcome;
+    }
+
     function complete(response: ResponseHead, body: Buffer): void {
         if (kind === responseKind.usable) {
             settle(outcome.success);
@@ -125,7 +134,7 @@
             return;
         }
         const kindResult = failedKinds[kind!];
-        settle(kind === responseKind.failed && hasProcessed() ? outcome.requestFailure : kindResult.outcome);
+        settle(outcomeOf(kind!));
         if (kind === responseKind.otherTarget) {
             targetTracker.markReplaced(target);
         }
@@ -167,7 +176,7 @@
             head = received;
             applyNotice(received);
             kind = readResponseKind(received, headerNames, exchange.usesNewConnection);
-            const load = readLoad(received, headerNames);
+            load = readLoad(received, headerNames);
             if (load !== undefined) {
                 targetTracker.reportLoad(target.id, load);
             }
--- a/packages/gateway/src/target-tracker.ts
+++ b/packages/gateway/src/target-tracker.ts
@@ -15,6 +15,7 @@
     LoadReport,
     Outcome,
     OutcomeBaseline,
+    ProbeCandidate,
     TargetHealth,
     TargetLoad,
 } from "@trefoilladder/placement";
@@ -22,7 +23,7 @@
 import type { DecisionLog } from "@trefoilladder/telemetry";
 
 /** A target that can be selected for a request. */
-export interface TargetCandidate extends Candidate {
+export interface TargetCandidate extends Candidate, ProbeCandidate {
     target: ListedTarget;
 }
 
@@ -55,6 +56,8 @@
     load: TargetLoad;
     /** Monotonic time in milliseconds at which any instance last received a successful response. */
     lastSuccessAt: number;
+    /** Monotonic time in milliseconds at which any instance last observed an outcome, or this one last sent a request. */
+    lastOutcomeAt: number;
     /** Start time of the incarnation whose address another process has taken over. */
     replacedStartedAt: number | undefined;
     suspected: boolean;
@@ -67,8 +70,8 @@
 
 /** Outcomes that are evidence about the network path. */
 const pathOutcomes = new Set<Outcome>([outcome.success, outcome.late, outcome.timedOut, outcome.unreachable]);
-/** Weight of the newest report in the moving average of a service's utilisation. */
-const newestLoadWeight = 0.05;
+/** Time in milliseconds for which the average utilisation of a service is cached. */
+const averageLifetimeMs = 100;
 /** Probabilities of being unhealthy at which a target becomes suspected, and below which it becomes trusted again. */
 const suspectProbability = 0.6;
 const trustProbability = 0.3;
@@ -93,7 +96,7 @@
     const { directory, now, log } = parts;
     const entries = new Map<string, Entry>();
     const baselines = new Map<string, OutcomeBaseline>();
-    const averageUtilisation = new Map<string, number>();
+    const averages = new Map<string, { utilisation: number; at: number; }>();
     let pending = new Map<string, PendingReport>();
 
     function entryOf(target: string): Entry {
@@ -104,6 +107,7 @@
                 pathHealth: createTargetHealth(now()),
                 load: createTargetLoad(),
                 lastSuccessAt: -Infinity,
+                lastOutcomeAt: -Infinity,
                 replacedStartedAt: undefined,
                 suspected: false,
             };
@@ -140,20 +144,27 @@
         return baseline.share(observed, now());
     }
 
-    function updateLoad(target: string, load: LoadReport): void {
-        entryOf(target).load.report(load, now());
-        const service = directory.get(target)?.service;
-        if (service !== undefined) {
-            const average = averageUtilisation.get(service) ?? 0;
-            const utilisation = (load.running + load.waiting) / Math.max(1, load.slots);
-            averageUtilisation.set(service, average + newestLoadWeight * (utilisation - average));
+    /**
+     * Returns the mean utilisation over the targets of a service. A mean over reports would be the load of the busiest targets,
+     * since these send most reports; idle targets would then appear as busy and get no requests.
+     */
+    function averageUtilisation(service: string, at: number): number {
+        const cached = averages.get(service);
+        if (cached !== undefined && at - cached.at < averageLifetimeMs) {
+            return cached.utilisation;
         }
+        const targets = directory.serving(service);
+        const total = targets.reduce((sum, { id }) => sum + entryOf(id).load.reportedUtilisation(at), 0);
+        const utilisation = total / Math.max(1, targets.length);
+        averages.set(service, { utilisation, at });
+        return utilisation;
     }
 
     /** Applies an outcome and returns the probability that the target is unhealthy. */
     function updateHealth(target: string, kind: Outcome, count: number, source: string): number {
         const entry = entryOf(target);
         const at = now();
+        entry.lastOutcomeAt = at;
         if (kind === outcome.success) {
             entry.lastSuccessAt = at;
         }
@@ -164,16 +175,17 @@
     }
 
     function utilisationOf(target: ListedTarget, at: number): number {
-        return entryOf(target.id).load.utilisation(target.slots, at, averageUtilisation.get(target.service) ?? 0);
+        return entryOf(target.id).load.utilisation(target.slots, at, averageUtilisation(target.service, at));
     }
 
     function candidateOf(target: ListedTarget, at: number): TargetCandidate {
-        const { health, pathHealth } = entryOf(target.id);
+        const { health, pathHealth, lastOutcomeAt } = entryOf(target.id);
         return {
             target,
             unhealthyProbability: health.unhealthyProbability(at),
             pathFailureProbability: pathHealth.unhealthyProbability(at),
             utilisation: utilisationOf(target, at),
+            msSinceOutcome: at - lastOutcomeAt,
             isCold: at < target.coldUntil,
             isSameDomain: target.domain === parts.domain,
         };
@@ -197,7 +209,11 @@
             const utilisations = usableTargets(service).map(target => utilisationOf(target, at));
             return utilisations.length === 0 ? undefined : Math.min(...utilisations);
         },
-        begin: target => entryOf(target).load.begin(),
+        begin(target) {
+            const entry = entryOf(target);
+            entry.load.begin();
+            entry.lastOutcomeAt = now();
+        },
         end: target => entryOf(target).load.end(),
         utilisation: target => utilisationOf(target, now()),
         observe(target, kind) {
@@ -213,7 +229,7 @@
             }
         },
         reportLoad(target, load) {
-            updateLoad(target, load);
+            entryOf(target).load.report(load, now());
             pendingReportOf(target).load = load;
         },
         markReplaced(target) {
@@ -231,7 +247,7 @@
             }
             if (load !== undefined) {
                 const [running, waiting, slots] = load;
-                updateLoad(target, { running, waiting, slots });
+                entryOf(target).load.report({ running, waiting, slots }, now());
             }
         },
         collectObservations() {
--- /dev/null
+++ b/packages/placement/src/exploration.ts
@@ -0,0 +1,44 @@
+/**
+ * Probing of suspected targets with callers' requests.
+ *
+ * Load pattern: a third of the targets of a busy service fail for a few seconds, one after the other. A target that is sound
+ * again receives no request from which the instances could learn it, since requests that cannot be retried avoid it until its
+ * evidence has decayed. Meanwhile the other targets carry its load, queue, and are suspected as well. Idempotent requests
+ * try such targets again, at most one request per target and interval over all instances, while there is budget for their
+ * retries.
+ */
+
+/** State of a target that decides whether a request probes it. */
+export interface ProbeCandidate {
+    /** Probability that the target is unhealthy. */
+    unhealthyProbability: number;
+    /** Probability that the network path from this instance to the target is broken. */
+    pathFailureProbability: number;
+    /**
+     * Time in milliseconds since any instance last observed an outcome at the target, or this one sent a request there;
+     * Infinity before the first one.
+     */
+    msSinceOutcome: number;
+}
+
+/** Minimum time in milliseconds without any outcome of a suspected target before a request probes it. */
+const probeIntervalMs = 500;
+/** Probability of being unhealthy from which a target receives too few requests to show that it is sound. */
+const probedProbability = 0.1;
+/** Maximum probability of a broken path; a probe over such a path says nothing about the target. */
+const maxPathFailureProbability = 0.5;
+/** Share of the retryable requests that may probe a target. */
+const probeShare = 0.35;
+
+/** Returns a suspected target that a retryable request should probe; undefined when there is none. */
+export function chooseProbe<T extends ProbeCandidate>(candidates: readonly T[], random: () => number): T | undefined {
+    if (random() >= probeShare) {
+        return undefined;
+    }
+    const due = candidates.filter(candidate =>
+        candidate.unhealthyProbability >= probedProbability
+        && candidate.msSinceOutcome >= probeIntervalMs
+        && candidate.pathFailureProbability <= maxPathFailureProbability
+    );
+    return due[Math.floor(random() * due.length)];
+}
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -1,8 +1,10 @@
+export { chooseProbe } from "./exploration";
+export type { ProbeCandidate } from "./exploration";
 export { createLatencyProfile } from "./latency-profile";
 export type { LatencyProfile } from "./latency-profile";
 export { createOutcomeBaseline } from "./outcome-baseline";
 export type { OutcomeBaseline } from "./outcome-baseline";
-export { outcomeWeight } from "./outcome-weight";
+export { outcomeWeight, shedOutcome } from "./outcome-weight";
 export { chooseTarget, expectedCost } from "./placement";
 export type { Candidate, RequestProfile } from "./placement";
 export { median, quantile } from "./quantile";
--- a/packages/placement/src/outcome-weight.ts
+++ b/packages/placement/src/outcome-weight.ts
@@ -7,6 +7,7 @@
 
 import { outcome } from "./target-health";
 import type { Outcome } from "./target-health";
+import type { LoadReport } from "./target-load";
 
 /** Weight of each outcome; it is below 1 for outcomes that the network path of a single instance may cause. */
 const weightByOutcome: Record<Outcome, number> = {
@@ -14,6 +15,7 @@
     failure: 1,
     request_failure: 1,
     shed: 1,
+    overloaded: 1,
     late: 0.6,
     timed_out: 0.8,
     unreachable: 0.4,
@@ -26,6 +28,11 @@
 /** Weight of a failed connection to a target that has recently responded to some instance. */
 const reachableElsewhereWeight = 0.08;
 
+/** Returns the outcome of an attempt that a target shed, given the load that it reported with the rejection. */
+export function shedOutcome(load: LoadReport | undefined): Outcome {
+    return load !== undefined && load.slots > 0 && load.running >= load.slots ? outcome.overloaded : outcome.shed;
+}
+
 /** Returns the weight of an outcome, given the time in milliseconds since the target last responded to any instance. */
 export function outcomeWeight(kind: Outcome, msSinceResponse: number): number {
     return kind === outcome.unreachable && msSinceResponse < recentResponseMs
--- a/packages/placement/src/retry-budget.ts
+++ b/packages/placement/src/retry-budget.ts
@@ -18,8 +18,8 @@
 export interface RetryBudget {
     /** Credits the budget with the fraction of a retry that each caller's request adds. */
     deposit(): void;
-    /** Returns whether a retry is available, without taking it. */
-    hasTokens(): boolean;
+    /** Returns whether a retry is available beside `reservedShare` of the bucket's size, without taking it. */
+    hasTokens(reservedShare?: number): boolean;
     /** Takes one retry; false when no more than `reservedShare` of the bucket's size is left. */
     take(reservedShare?: number): boolean;
 }
@@ -53,10 +53,10 @@
 ): RetryBudget {
     const creditedTokens = bounds.ratio * creditedRatioShare;
     const bucketTokens = retryBucketTokens(bounds);
+    const hasTokens = (reservedShare = 0) => bucket.level(now()) >= 1 + reservedShare * bucketTokens;
     return {
         deposit: () => bucket.refund(now(), creditedTokens),
-        hasTokens: () => bucket.level(now()) >= 1,
-        take: (reservedShare = 0) =>
-            bucket.level(now()) >= 1 + reservedShare * bucketTokens && bucket.take(now()) === 0,
+        hasTokens,
+        take: reservedShare => hasTokens(reservedShare) && bucket.take(now()) === 0,
     };
 }
--- a/packages/placement/src/target-health.ts
+++ b/packages/placement/src/target-health.ts
@@ -17,8 +17,10 @@
     late: "late",
     /** No response before the request's timeout, which even a busy target rarely reaches. */
     timedOut: "timed_out",
-    /** The target rejected the request without running it. */
+    /** The target rejected the request without running it, although it had free slots or did not tell its load. */
     shed: "shed",
+    /** The target rejected the request without running it because all its slots were in use. */
+    overloaded: "overloaded",
     /** The connection could not be established, or nothing was received on it. */
     unreachable: "unreachable",
 } as const;
@@ -34,6 +36,8 @@
     late: { unhealthy: 0.35, healthy: 0.04 },
     timed_out: { unhealthy: 0.35, healthy: 0.012 },
     shed: { unhealthy: 0.4, healthy: 0.08 },
+    // Equal, so that it is no evidence: a sound target that carries the load of unhealthy ones sheds as well.
+    overloaded: { unhealthy: 0.1, healthy: 0.1 },
     unreachable: { unhealthy: 0.6, healthy: 0.02 },
 };
 
--- a/packages/placement/src/target-load.ts
+++ b/packages/placement/src/target-load.ts
@@ -19,6 +19,11 @@
     begin(): void;
     end(): void;
     readonly inFlight: number;
+    /**
+     * Returns the reported requests divided by the slots, which decays to 0 without further reports: a target that responds
+     * to no instance has received no requests, or does not respond, which its health covers.
+     */
+    reportedUtilisation(now: number): number;
     /**
      * Returns the estimated requests at the target divided by its slots; above 1, requests wait there. `peerUtilisation`
      * is the typical value of the service's targets.
@@ -28,16 +33,23 @@
 
 /** Time constant in milliseconds of the exponential decay of a report's weight. */
 const reportLifetimeMs = 700;
+/**
+ * Time constant in milliseconds with which a report decays in the average of a service. It is longer than the requests that
+ * would bring another report.
+ */
+const averagedReportLifetimeMs = 2_000;
 
 /** Creates the load estimate of a target without reports. */
 export function createTargetLoad(): TargetLoad {
     let reported = 0;
+    let reportedSlots = 1;
     let reportedAt = -Infinity;
     let inFlight = 0;
     let inFlightAtReport = 0;
     return {
         report(load, now) {
             reported = load.running + load.waiting;
+            reportedSlots = Math.max(1, load.slots);
             reportedAt = now;
             inFlightAtReport = inFlight;
         },
@@ -52,6 +64,7 @@
         get inFlight() {
             return inFlight;
         },
+        reportedUtilisation: now => reported / reportedSlots * Math.exp(-(now - reportedAt) / averagedReportLifetimeMs),
         utilisation(slots, now, peerUtilisation) {
             const slotCount = Math.max(1, slots);
             const freshness = Math.exp(-(now - reportedAt) / reportLifetimeMs);
--- a/test/gateway/attempt-run.test.ts
+++ b/test/gateway/attempt-run.test.ts
@@ -26,6 +26,7 @@
         unhealthyProbability: 0.07,
         pathFailureProbability: 0.01,
         utilisation: 0,
+        msSinceOutcome: 0,
         isCold: false,
         isSameDomain: true,
         ...fields,
--- a/test/gateway/target-tracker.test.ts
+++ b/test/gateway/target-tracker.test.ts
@@ -9,7 +9,7 @@
     const clock = createVirtualClock();
     const log = silentLog();
     const directory = createTestDirectory({ clock, log });
-    const targets = Array.from({ length: size }, (_, index) => targetRecord(index, 1));
+    const targets = Array.from({ length: size }, (_, index) => targetRecord(index, 1 + index));
     targets.forEach(target => directory.put(target));
     const counts = { urgent: 0 };
     const tracker = createTargetTracker({
@@ -60,3 +60,29 @@
         expect(tracker.leastUtilisation("archive")).toBeUndefined();
     });
 });
+
+// Guards against idle targets that appear as full as the few targets which send all load reports.
+describe("the assumed utilisation of a target without reports", () => {
+    test("is the mean over all targets of the service", () => {
+        const { tracker, ids } = createTracker(10);
+        for (let count = 0; count < 100; count++) {
+            tracker.reportLoad(ids[0]!, { running: 6, waiting: 24, slots: 6 });
+        }
+        const idle = tracker.candidates("dossier", new Set()).find(({ target }) => target.id === ids[1]);
+        expect(idle!.utilisation).toBeCloseTo(0.5);
+    });
+});
+
+describe("an outcome without evidence", () => {
+    // Guards against sound targets that are suspected since they reject requests while they carry the load of others.
+    test("leaves the probability of being unhealthy as it is", () => {
+        const { tracker, ids } = createTracker(2);
+        const probabilities = () =>
+            tracker.candidates("dossier", new Set()).map(({ unhealthyProbability }) => unhealthyProbability);
+        const before = probabilities();
+        for (let count = 0; count < 20; count++) {
+            tracker.observe(ids[0]!, "overloaded");
+        }
+        expect(probabilities()[0]).toBeCloseTo(before[0]!);
+    });
+});
--- a/test/recovery/fleet-simulation.ts
+++ b/test/recovery/fleet-simulation.ts
@@ -1,4 +1,5 @@
 import {
+    chooseProbe,
     chooseTarget,
     createLatencyProfile,
     createRetryBudget,
@@ -97,8 +98,9 @@
 /** Weight of the newest request in an instance's share of refused requests. */
 const newestRequestWeight = 0.15;
 const retryRatio = 0.2;
-/** Share of the retry budget that hedged attempts leave; the gateway uses the same. */
+/** Shares of the retry budget that hedged attempts and probes leave; the gateway uses the same. */
 const hedgeReserveShare = 0.3;
+const probeReserveShare = 0.5;
 const service = "dossier";
 
 function listTargets(fleet: SimulatedFleet): ListedTarget[] {
@@ -220,8 +222,10 @@
 
         function choose(): TargetCandidate {
             const canRetry = route.idempotent && arrivals + 1 < maxAttempts && retryBudget.hasTokens();
+            const mayProbe = canRetry && arrivals === 0 && retryBudget.hasTokens(probeReserveShare);
             const candidates = tracker.candidates(service, excluded);
-            return chooseTarget(candidates, { isRetryable: canRetry, responseKb: 1 }, random)!;
+            const probed = mayProbe ? chooseProbe(candidates, random) : undefined;
+            return probed ?? chooseTarget(candidates, { isRetryable: canRetry, responseKb: 1 }, random)!;
         }
 
         function startAttempt(): void {
--- a/test/recovery/recovery.test.ts
+++ b/test/recovery/recovery.test.ts
@@ -28,10 +28,7 @@
 // request showed that a suspected target was sound again. On scale-2 of laurel-gw-grown the share of requests served in time
 // fell from 0.85 to 0.44 in 16 s at half of the load that the fleet had served before.
 describe("recovery from a state of the estimates", () => {
-    const failingStates = ["fewTrusted"];
-    const otherStates = Object.keys(initialStates).filter(name => !failingStates.includes(name));
-
-    function expectRecovery(name: string): void {
+    test.each(Object.keys(initialStates))("serves as with fresh estimates within 2 s: %s", name => {
         forEachRun((seed, instances, targets) => {
             const fleet = { ...dossierFleet({ seed, instances, targets }), durationMs: 6_000 };
             const result = simulateFleet({ ...fleet, prepare: initialStates[name] });
@@ -41,10 +38,7 @@
             }
             expect(result.lastFirstArrivalMs).toBeLessThanOrEqual(maxUntriedMs);
         });
-    }
-
-    test.each(otherStates)("serves as with fresh estimates within 2 s: %s", expectRecovery, testTimeoutMs);
-    test.failing.each(failingStates)("serves as with fresh estimates within 2 s: %s", expectRecovery, testTimeoutMs);
+    }, testTimeoutMs);
 });
 
 describe("a busy service whose targets fail for seconds in turns", () => {
@@ -55,7 +49,7 @@
 
     // Guards against the same bad state as it arises from faults: with three in ten targets failing at any moment, the share
     // of requests served in time fell from second to second.
-    test.failing.each([0.5, 0.6])("is served until the end at a load of %d of all slots", loadShare => {
+    test.each([0.5, 0.6])("is served until the end at a load of %d of all slots", loadShare => {
         forEachRun((seed, instances, targets) => {
             const failingShare = failingSpells({ ...spells, seed, targets });
             const result = simulateFleet({
--- a/test/recovery/simulated-target.ts
+++ b/test/recovery/simulated-target.ts
@@ -1,4 +1,4 @@
-import { outcome } from "@trefoilladder/placement";
+import { outcome, shedOutcome } from "@trefoilladder/placement";
 import type { LoadReport, Outcome } from "@trefoilladder/placement";
 
 /** A target with slots and a queue. */
@@ -45,7 +45,7 @@
                 return;
             }
             if (running >= slots && queue.length >= queueCapacity) {
-                responded(outcome.shed);
+                responded(shedOutcome(load()));
                 return;
             }
             const start = () => {
