Wait for an early reset before a request is sent on a new connection

Cause: a target resets connections over its cap, or while its queue is long, right after it has accepted them. The request was written as soon as the connection was established, so it counted as sent: non-idempotent requests that reached no target ended as 502, which callers cannot repeat, and the reset counted as a failure of the target.

Change: a new connection carries its request after as long as connecting took and 3 ms, 15 ms at most. A reset until then is 'unreachable': nothing was sent, and another target is tried.

Test: the target resets 0 and 2 ms after it accepts; 'broken', with the request received, before; 20 of 20 'unreachable' now.

--- a/packages/upstream/src/target-connection.ts
+++ b/packages/upstream/src/target-connection.ts
@@ -90,6 +90,14 @@
 /** Safety margin in milliseconds that is subtracted from an announced keep-alive timeout. */
 const idleMarginMs = 600;
 
+/**
+ * Time in milliseconds, beside the time that connecting took, for which a new connection has to stay open before a request is
+ * sent on it. A target with too many connections resets a new one right after it has accepted it. A request that was already
+ * written by then may count as run, and one that runs at most once could not be sent to another target.
+ */
+const openingMarginMs = 3;
+const maxOpeningWaitMs = 15;
+
 /** Maximum bytes and heads before the response to a request: a late response to an earlier request, and interim responses. */
 const maxBytesBeforeResponse = 2 * 1024 * 1024;
 const maxHeadsBeforeResponse = 16;
@@ -116,7 +124,10 @@
 export function createTargetConnection(options: ConnectionOptions): TargetConnection {
     const socket = new Socket();
     let current: { request: OutgoingRequest; listener: ExchangeListener; } | undefined;
-    let connected = false;
+    const startedAt = options.now();
+    /** Whether the connection has stayed open long enough to carry requests. */
+    let isReady = false;
+    let openingTimer: NodeJS.Timeout | undefined;
     let closed = false;
     let idleSince: number | undefined;
     let idleLimitMs = 0;
@@ -135,6 +146,7 @@
         if (!closed) {
             closed = true;
             clearTimeout(connectTimer);
+            clearTimeout(openingTimer);
             socket.destroy();
             options.closed();
         }
@@ -147,6 +159,11 @@
         listener?.fail(new ExchangeFailure(code, message, { cause }));
     }
 
+    /** Returns the failure of a request whose connection is lost: before the connection is ready, nothing was sent. */
+    function lossCode(): ExchangeFailure["code"] {
+        return isReady ? "broken" : "unreachable";
+    }
+
     function finishExchange(hasTrailingBytes: boolean): void {
         const { listener } = current!;
         current = undefined;
@@ -236,18 +253,28 @@
         }
     }
 
-    socket.on("connect", () => {
-        connected = true;
-        clearTimeout(connectTimer);
-        if (current !== undefined) {
+    function startCarrying(): void {
+        isReady = !closed;
+        if (isReady && current !== undefined) {
             send();
         }
+    }
+
+    socket.on("connect", () => {
+        clearTimeout(connectTimer);
+        const waitMs = Math.min(maxOpeningWaitMs, options.now() - startedAt + openingMarginMs);
+        // After a delay of the event loop, timers run before the reset that has arrived meanwhile is read.
+        openingTimer = setTimeout(() => setImmediate(startCarrying), waitMs);
     });
     socket.on("data", (chunk: Buffer) => {
         if (current === undefined) {
             destroy();
             return;
         }
+        if (!isReady) {
+            fail("unreachable", "the target sent data before a request");
+            return;
+        }
         const error = parser.execute(chunk) ?? checkPrecedingBytes(chunk);
         if (error !== undefined && !closed) {
             fail("garbled", "the target sent an invalid response", error);
@@ -256,12 +283,12 @@
     socket.on("end", () => {
         const error = parser.finish();
         if (current !== undefined) {
-            fail("broken", "the target closed the connection", error);
+            fail(lossCode(), "the target closed the connection", error);
         }
         destroy();
     });
-    socket.on("error", error => fail(connected ? "broken" : "unreachable", "the connection failed", error));
-    socket.on("close", () => fail(connected ? "broken" : "unreachable", "the connection closed"));
+    socket.on("error", error => fail(lossCode(), "the connection failed", error));
+    socket.on("close", () => fail(lossCode(), "the connection closed"));
 
     connect();
 
@@ -277,7 +304,7 @@
                 if (closed) {
                     fail("unreachable", "the connection was closed before the request was sent");
                 }
-                else if (connected && current !== undefined) {
+                else if (isReady && current !== undefined) {
                     send();
                 }
             });
@@ -295,7 +322,7 @@
             return idleLimitMs;
         },
         get isOpen() {
-            return connected && !closed;
+            return isReady && !closed;
         },
     };
 }
--- a/test/gateway/fixtures.ts
+++ b/test/gateway/fixtures.ts
@@ -147,7 +147,7 @@
     stopSeconds?: number;
 }): Promise<Fleet> {
     const store = createMemoryStore();
-    const targets = await Promise.all(options.responders.map(startScriptedTarget));
+    const targets = await Promise.all(options.responders.map(respond => startScriptedTarget(respond)));
     targets.forEach(({ port }, index) => store.put(stream.targets, `target-${index}`, targetRecord(index, port)));
     store.put(stream.configuration, "current", options.configuration ?? configuration());
     const ports = await Promise.all([freePort(), freePort(), freePort(), freePort(), freePort()]);
--- a/test/upstream/connection-pool.test.ts
+++ b/test/upstream/connection-pool.test.ts
@@ -152,6 +152,27 @@
     });
 
     // Guards against a crash of the process when a target's port is out of range.
+    // Guards against a request that may run only once and counts as possibly run, since it was written to a connection that the
+    // target reset because it has too many: its caller got 502 and could not repeat it.
+    test.each([0, 2])(
+        "send nothing on a connection that the target resets %d ms after it was accepted",
+        async resetMs => {
+            pool = createPool();
+            const received: string[] = [];
+            target = await startScriptedTarget((_, __, id) => received.push(id), socket => {
+                if (resetMs === 0) {
+                    socket.resetAndDestroy();
+                    return;
+                }
+                setTimeout(() => socket.resetAndDestroy(), resetMs);
+            });
+            for (let index = 0; index < 20; index++) {
+                expect(await exchange(pool, target.port, `r${index}`)).toMatchObject({ failure: "unreachable" });
+            }
+            expect(received).toEqual([]);
+        },
+    );
+
     test("are unreachable at a port out of range", async () => {
         await start(socket => socket.resetAndDestroy());
         expect(await exchange(pool, 70_000, "a")).toMatchObject({ failure: "unreachable" });
--- a/test/upstream/scripted-target.ts
+++ b/test/upstream/scripted-target.ts
@@ -14,9 +14,13 @@
     close(): Promise<void>;
 }
 
-/** Starts a target; `respond` is called with the socket, the request's number and its id. */
+/**
+ * Starts a target; `respond` is called with the socket, the request's number and its id, `accept` with each accepted
+ * connection.
+ */
 export async function startScriptedTarget(
     respond: (socket: Socket, request: number, id: string) => void,
+    accept: (socket: Socket) => void = () => undefined,
 ): Promise<ScriptedTarget> {
     const sockets = new Set<Socket>();
     const requests: string[] = [];
@@ -24,6 +28,7 @@
     const server: Server = createServer(socket => {
         accepted += 1;
         sockets.add(socket);
+        accept(socket);
         socket.on("error", () => undefined);
         socket.on("close", () => sockets.delete(socket));
         socket.on("data", chunk => {
