--- a/packages/gateway/src/attempt-run.ts
+++ b/packages/gateway/src/attempt-run.ts
@@ -45,8 +45,8 @@
     id: string;
     route: Route;
     service: string;
-    /** Typical size of responses in kilobytes. */
-    responseKb: number;
+    /** Size in kilobytes of the request's body and of a typical response. */
+    transferKb: number;
     retryBudget: RetryBudget;
     bodyBuffered: boolean;
     /** Monotonic time in milliseconds at which the run ends. */
@@ -125,7 +125,7 @@
         const probed = mayProbe ? chooseProbe(candidates, parts.random) : undefined;
         const chosen = probed ?? chooseTarget(
             candidates,
-            { isRetryable: canRetry, responseKb: options.responseKb },
+            { isRetryable: canRetry, transferKb: options.transferKb },
             parts.random,
         );
         if (chosen === undefined) {
--- a/packages/gateway/src/request-body.ts
+++ b/packages/gateway/src/request-body.ts
@@ -14,7 +14,7 @@
 export type BodyProblem = "too_large" | "aborted" | "timed_out";
 
 /** Largest body that is buffered, so that it can be sent again. */
-const maxBufferedBytes = 64 * 1024;
+export const maxBufferedRequestBytes = 64 * 1024;
 
 /**
  * Reads a body until it is complete or too large to be buffered. A larger one is left paused, to be streamed.
@@ -41,7 +41,7 @@
             if (size > limits.maxBytes) {
                 finish("too_large");
             }
-            else if (size > maxBufferedBytes) {
+            else if (size > maxBufferedRequestBytes) {
                 incoming.pause();
                 finish({ buffered: undefined, firstChunks: chunks, source: incoming });
             }
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -20,7 +20,7 @@
 import { refusal } from "./refusal";
 import type { Refusal } from "./refusal";
 import { sendRefusal } from "./refusal-response";
-import { readBody, streamBody } from "./request-body";
+import { maxBufferedRequestBytes, readBody, streamBody } from "./request-body";
 import type { BodyProblem, RequestBody } from "./request-body";
 import { impliesNotRun } from "./response-check";
 import { sendResponse, streamResponse } from "./response-relay";
@@ -75,6 +75,11 @@
     return key === undefined ? undefined : createHash("sha256").update(key).digest("hex").slice(0, keyIdDigits);
 }
 
+/** Returns the size of a request's body in kilobytes; a body of unknown length exceeds the buffer. */
+function requestKb({ contentLength }: CallerRequest, { buffered }: RequestBody): number {
+    return (buffered?.length ?? contentLength ?? maxBufferedRequestBytes) / 1_024;
+}
+
 /** Creates the request listener of the callers' server. */
 export function createRequestFlow(parts: FlowParts): (incoming: IncomingMessage, outgoing: ServerResponse) => void {
     const { headerNames, log, now } = parts;
@@ -254,7 +259,7 @@
             id: request.id,
             route,
             service: admitted.service,
-            responseKb: profile.responseKb(),
+            transferKb: requestKb(request, body) + profile.responseKb(),
             typicalMs: profile.latency.meanMs(),
             retryBudget: state.retryBudget,
             bodyBuffered: body.buffered !== undefined,
--- a/packages/placement/src/placement.ts
+++ b/packages/placement/src/placement.ts
@@ -23,8 +23,8 @@
 export interface RequestProfile {
     /** Whether a failed attempt can be retried. */
     isRetryable: boolean;
-    /** Typical size of responses in kilobytes. */
-    responseKb: number;
+    /** Size in kilobytes of the request's body and of a typical response. */
+    transferKb: number;
 }
 
 /** Share of requests that fail at an unhealthy target. */
@@ -42,7 +42,7 @@
 const queueCost = 0.5;
 /** Cost of a cold target, which is slow in its first seconds. */
 const coldCost = 0.06;
-/** Cost of a request to another failure domain, and the additional cost of each kilobyte of its response. */
+/** Cost of a request to another failure domain, and the additional cost of each kilobyte of its body and response. */
 const crossDomainCost = 0.008;
 const crossDomainKbCost = 0.0035;
 /**
@@ -59,7 +59,7 @@
     const { utilisation } = candidate;
     const busyShare = Math.min(1, utilisation);
     const loadTerm = fullUtilisationCost * busyShare ** 2 + queueCost * Math.max(0, utilisation - 1);
-    const domainTerm = candidate.isSameDomain ? 0 : crossDomainCost + crossDomainKbCost * request.responseKb;
+    const domainTerm = candidate.isSameDomain ? 0 : crossDomainCost + crossDomainKbCost * request.transferKb;
     return failureTerm + loadTerm + domainTerm + (candidate.isCold ? coldCost : 0);
 }
 
--- a/test/gateway/attempt-run.test.ts
+++ b/test/gateway/attempt-run.test.ts
@@ -90,7 +90,7 @@
         id: "r1",
         route: route(),
         service: "dossier",
-        responseKb: 1,
+        transferKb: 1,
         typicalMs: 300,
         retryBudget: { deposit: noop, hasTokens: () => true, take: () => true },
         bodyBuffered: true,
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -42,6 +42,22 @@
 
 afterEach(() => fleet.close());
 
+describe("a request with a large body", () => {
+    // Guards against uploads that cross failure domains although a target of this one has room: only responses were weighed.
+    test("stays in the failure domain of the instance", async () => {
+        await start([success, success]);
+        const [near, far] = fleet.targets;
+        fleet.store.put(stream.targets, "target-1", targetRecord(1, far!.port, { domain: "b", sequence: 2 }));
+        await delay(500);
+        const uploads = 25;
+        for (let index = 0; index < uploads; index++) {
+            const result = await call(fleet.callers[0]!, { ...nonIdempotent, body: "x".repeat(60_000) });
+            expect(result.status).toBe(200);
+        }
+        expect(near!.requests.filter(head => head.startsWith("POST"))).toHaveLength(uploads);
+    });
+});
+
 describe("a request", () => {
     test("reaches a target with the headers that the target needs, and never with the key", async () => {
         await start([success]);
--- a/test/placement/load-simulation.ts
+++ b/test/placement/load-simulation.ts
@@ -75,7 +75,7 @@
             isCold: false,
             isSameDomain: index % load.domains === domain,
         }));
-        const chosen = chooseTarget(candidates, { isRetryable: false, responseKb: 1 }, random)!;
+        const chosen = chooseTarget(candidates, { isRetryable: false, transferKb: 1 }, random)!;
         crossDomainCount += chosen.isSameDomain ? 0 : 1;
         loadsByInstance[instance]![chosen.index]!.begin();
         const serviceMs = load.meanServiceMs * (0.7 + 0.6 * random());
--- a/test/placement/placement.test.ts
+++ b/test/placement/placement.test.ts
@@ -2,8 +2,8 @@
 import type { Candidate, RequestProfile } from "@trefoilladder/placement";
 import { createRandomSource } from "../../packages/routing/src/random-source";
 
-const nonRetryable: RequestProfile = { isRetryable: false, responseKb: 1 };
-const largeResponse: RequestProfile = { isRetryable: true, responseKb: 90 };
+const nonRetryable: RequestProfile = { isRetryable: false, transferKb: 1 };
+const largeResponse: RequestProfile = { isRetryable: true, transferKb: 90 };
 
 function candidate(fields: Partial<Candidate> = {}): Candidate {
     return {
--- a/test/placement/unhealthy-majority-simulation.ts
+++ b/test/placement/unhealthy-majority-simulation.ts
@@ -100,7 +100,7 @@
             isCold: false,
             isSameDomain: true,
         }));
-        const { index } = chooseTarget(candidates, { isRetryable: false, responseKb: 1 }, random)!;
+        const { index } = chooseTarget(candidates, { isRetryable: false, transferKb: 1 }, random)!;
         const target = targets[index]!;
         if (target.isUnhealthy && random() < load.failingShare) {
             failed += 1;
--- a/test/recovery/fleet-simulation.ts
+++ b/test/recovery/fleet-simulation.ts
@@ -225,7 +225,7 @@
             const mayProbe = canRetry && arrivals === 0 && retryBudget.hasTokens(probeReserveShare);
             const candidates = tracker.candidates(service, excluded);
             const probed = mayProbe ? chooseProbe(candidates, random) : undefined;
-            return probed ?? chooseTarget(candidates, { isRetryable: canRetry, responseKb: 1 }, random)!;
+            return probed ?? chooseTarget(candidates, { isRetryable: canRetry, transferKb: 1 }, random)!;
         }
 
         function startAttempt(): void {
