--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -26,6 +26,7 @@
 import { createServiceStates } from "./service-states";
 import type { GatewaySettings, InvalidSettings } from "./settings";
 import { compareSettings } from "./settings-file";
+import { createStateSummary, stateSummaryIntervalMs } from "./state-summary";
 import { planStop, stopServing } from "./stop";
 import type { StopTimes } from "./stop";
 import { createStoreStreams } from "./store-streams";
@@ -195,6 +196,12 @@
     await listen(peerServer, settings.peers);
     await listen(metricsServer, `${settings.address}:${settings.metrics.port}`);
     const connectionCheck = setInterval(() => pool.closeExpiredConnections(), connectionCheckIntervalMs);
+    const summarizeState = createStateSummary({
+        log,
+        targetTracker,
+        services: () => configuration.current()?.configuration.services.map(({ name }) => name) ?? [],
+    });
+    const summaryTimer = setInterval(summarizeState, stateSummaryIntervalMs);
     const tasks = [
         streams.run(stopping.signal),
         registerInstance({
@@ -224,6 +231,7 @@
         });
         stopping.abort();
         clearInterval(connectionCheck);
+        clearInterval(summaryTimer);
         await Promise.all(tasks);
         await mesh.stop();
         for (const server of [readiness, peerServer, metricsServer, callers.server]) {
--- a/packages/replication/src/stream-follower.ts
+++ b/packages/replication/src/stream-follower.ts
@@ -71,6 +71,27 @@
 /** Time in milliseconds for which a read may receive no data while a peer is known to be ahead. */
 const stallTimeoutMs = 400;
 
+/** Why an instance calls the store. */
+const callPurpose = {
+    /** First read of the newest records after the start. */
+    start: "start",
+    /** Read of the newest records after the store dropped the history. */
+    expired: "expired",
+    /** Repetition of a failed call. */
+    retry: "retry",
+    /** Long poll of the reader that confirms the stream's end to all instances, and of a failure domain's reader. */
+    firstReader: "first_reader",
+    domainReader: "domain_reader",
+    /** Poll of another instance that received no confirmation, or heard of newer records that did not arrive. */
+    unconfirmed: "unconfirmed",
+} as const;
+
+const purposeByRole: Record<ReaderRole, typeof callPurpose[keyof typeof callPurpose]> = {
+    [readerRole.first]: callPurpose.firstReader,
+    [readerRole.domain]: callPurpose.domainReader,
+    [readerRole.none]: callPurpose.unconfirmed,
+};
+
 function sizeOf(records: readonly KeyedRecord[]): number {
     return records.reduce((sum, { value }) => sum + (value?.length ?? 0), 0);
 }
@@ -96,7 +117,18 @@
         return failures > 0 ? 0 : schedule.waitMs(options.role?.(), options.peerCount());
     }
 
+    function purposeOfCall(): typeof callPurpose[keyof typeof callPurpose] {
+        if (failures > 0) {
+            return callPurpose.retry;
+        }
+        if (nextOffset < 0) {
+            return lastResponseAt === -Infinity ? callPurpose.start : callPurpose.expired;
+        }
+        return purposeByRole[roleOf()];
+    }
+
     async function readOnce(signal: AbortSignal): Promise<StoreFailure | undefined> {
+        log.count(`store_call_${stream}_${purposeOfCall()}`);
         const calledAt = clock.now();
         const current = createStoreCall(clock);
         call = current;
