Withhold what a limit refilled while the process was paused

Afterwards the reports of the time of the pause were subtracted from a bucket that is capped at its burst, and the instance refused the organisation for as long as it had been paused.

Change: a limit notices at its next use that the ticks of 200 ms did not come for 0.7 s. What it refilled in that time is withheld, beyond the cap, until the others' reports have used it up or 1.2 s have passed.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -138,7 +138,12 @@
         }),
         receive: receiveDigest,
         receiveRecords: streams.applyPushed,
-        updateContactShare: share => [limitGroup, retryBuckets].forEach(group => group.setContactShare(share)),
+        updateContactShare(share) {
+            for (const group of [limitGroup, retryBuckets]) {
+                group.tick();
+                group.setContactShare(share);
+            }
+        },
     });
     const flow = createRequestFlow({
         pool,
--- a/packages/limits/src/limit-group.ts
+++ b/packages/limits/src/limit-group.ts
@@ -15,6 +15,8 @@
     /** Removes the limits whose names are not among these. */
     retain(names: ReadonlySet<string>): void;
     setContactShare(share: number): void;
+    /** Called each `tickIntervalMs` while the process runs; a late call shows that it was paused. */
+    tick(): void;
     /** Returns the monotonic time in milliseconds of the last contact with an instance; -Infinity without any. */
     lastContactAt(sender: string): number;
     /** Applies the running totals of another instance; totals that it leaves out have not changed. */
@@ -31,6 +33,9 @@
     resendsLeft: number;
 }
 
+/** Interval in milliseconds of the calls of `tick`, and the time since the last one after which the process was paused. */
+export const tickIntervalMs = 200;
+const pauseThresholdMs = 700;
 /** Maximum number of instances whose last contact is kept; the least recent one is evicted first. */
 const maxSenders = 4_096;
 /** Number of further digests that repeat a changed total, since datagrams may be lost. */
@@ -43,6 +48,7 @@
     /** Monotonic times in milliseconds by instance, the most recent contact last. */
     const lastContacts = new Map<string, number>();
     let contactShare = 1;
+    let lastTickAt: number | undefined;
 
     function recordContact(sender: string): void {
         lastContacts.delete(sender);
@@ -53,6 +59,18 @@
         }
     }
 
+    /**
+     * Detects that the process was paused. It is called before each use of a limit, since the requests and reports that
+     * arrived during a pause are handled before the timers.
+     */
+    function detectPause(): void {
+        const pausedMs = lastTickAt === undefined ? 0 : now() - lastTickAt;
+        if (pausedMs > pauseThresholdMs) {
+            lastTickAt = now();
+            entries.forEach(({ limit }) => limit.recordPause(pausedMs, now()));
+        }
+    }
+
     /** Returns whether the next digest carries the total of a limit; updates the sent total of one that has changed. */
     function needsSending(entry: Entry): boolean {
         const { admitted } = entry.limit;
@@ -67,7 +85,10 @@
     }
 
     return {
-        get: name => entries.get(name)?.limit,
+        get(name) {
+            detectPause();
+            return entries.get(name)?.limit;
+        },
         add(name, limit) {
             limit.setContactShare(contactShare, now());
             entries.set(name, { limit, sentTotal: 0, sentIncrement: 0, resendsLeft: 0 });
@@ -75,6 +96,10 @@
         retain(names) {
             [...entries.keys()].filter(name => !names.has(name)).forEach(name => entries.delete(name));
         },
+        tick() {
+            detectPause();
+            lastTickAt = now();
+        },
         setContactShare(share) {
             if (share !== contactShare) {
                 contactShare = share;
@@ -83,6 +108,7 @@
         },
         lastContactAt: sender => lastContacts.get(sender) ?? -Infinity,
         applyPeerTotals(sender, totals) {
+            detectPause();
             recordContact(sender);
             for (const [name, total, increment] of totals) {
                 entries.get(name)?.limit.applyPeerTotal(sender, total, now(), increment);
--- a/packages/limits/src/shared-limit.ts
+++ b/packages/limits/src/shared-limit.ts
@@ -29,10 +29,17 @@
     resize(ratePerSecond: number, burst: number, now: number): void;
     /** Sets the share of known instances that are in contact, greater than 0 and at most 1. */
     setContactShare(share: number, now: number): void;
+    /**
+     * Records that the process was paused until now. The tokens that were refilled meanwhile are withheld until the other
+     * instances have reported what they admitted of them.
+     */
+    recordPause(pausedMs: number, now: number): void;
     /** Running total of the tokens that this instance has taken, less those that it has put back. */
     readonly admitted: number;
 }
 
+/** Time in milliseconds after a pause within which all instances in contact have reported their totals. */
+const reportsDueMs = 1_200;
 /** Share of the burst with which a bucket starts; instances that restart together must not admit a second burst. */
 const initialBurstShare = 0.5;
 
@@ -56,25 +63,39 @@
     let level = burst * initialBurstShare;
     let updatedAt = limit.now;
     let admitted = 0;
+    /** Tokens refilled during a pause that may have been admitted by other instances, and when all of these have reported. */
+    let withheld = 0;
+    let withheldUntil = -Infinity;
     const peers = createPeerTotals(limit.lastContactAt ?? (() => -Infinity));
 
     function refill(now: number): void {
+        if (now >= withheldUntil) {
+            withheld = 0;
+        }
         const elapsedMs = Math.max(0, now - updatedAt);
-        level = Math.min(Math.max(1, burst * contactShare), level + elapsedMs * ratePerSecond * contactShare / 1_000);
+        const capacity = Math.max(1, burst * contactShare) + withheld;
+        level = Math.min(capacity, level + elapsedMs * ratePerSecond * contactShare / 1_000);
         updatedAt = Math.max(updatedAt, now);
     }
 
+    /** Takes the tokens that others have admitted, first from those that were withheld for them. */
+    function takeAdmitted(tokens: number): void {
+        level -= tokens;
+        withheld = Math.max(0, withheld - Math.max(0, tokens));
+    }
+
     function currentLevel(now: number): number {
         refill(now);
         level -= peers.assume(now);
-        return level;
+        return level - withheld;
     }
 
     return {
         level: currentLevel,
         take(now) {
-            if (currentLevel(now) < 1) {
-                return (1 - level) * 1_000 / (ratePerSecond * contactShare);
+            const available = currentLevel(now);
+            if (available < 1) {
+                return (1 - available) * 1_000 / (ratePerSecond * contactShare);
             }
             level -= 1;
             admitted += 1;
@@ -87,7 +108,7 @@
         },
         applyPeerTotal(peer, total, now, increment = 0) {
             refill(now);
-            level -= peers.report(peer, total, now, increment);
+            takeAdmitted(peers.report(peer, total, now, increment));
         },
         resize(newRate, newBurst, now) {
             refill(now);
@@ -99,6 +120,14 @@
             refill(now);
             contactShare = share;
         },
+        recordPause(pausedMs, now) {
+            refill(now - pausedMs);
+            const refilled = Math.max(0, now - updatedAt) * ratePerSecond * contactShare / 1_000;
+            withheld += refilled;
+            level += refilled;
+            withheldUntil = now + reportsDueMs;
+            updatedAt = now;
+        },
         get admitted() {
             return admitted;
         },
