--- a/packages/gateway/src/attempt-run.ts
+++ b/packages/gateway/src/attempt-run.ts
@@ -2,7 +2,15 @@
  * All attempts for one request: the first, retries after failures, and a hedged attempt in parallel to a late one.
  */
 
-import { attemptEnd, chooseProbe, chooseTarget, explainedWaitMs, mayRetry, outcome } from "@trefoilladder/placement";
+import {
+    attemptEnd,
+    chooseProbe,
+    chooseTarget,
+    explainedWaitMs,
+    mayRetry,
+    outcome,
+    retryReserveShare,
+} from "@trefoilladder/placement";
 import type { AttemptEnd, RetryBudget } from "@trefoilladder/placement";
 import type { ListedTarget } from "@trefoilladder/replication";
 import type { Route } from "@trefoilladder/serving";
@@ -226,7 +234,7 @@
             maxAttempts: route.maxAttempts,
             failedConnections,
             remainingMs: options.endAt - now(),
-            budgetLeft: retryBudget.hasTokens(),
+            budgetLeft: retryBudget.hasTokens(retryReserveShare(attemptResult.end)),
             bodyBuffered: options.bodyBuffered,
         };
         if (isAbandoned || !mayRetry(attemptResult.end, state)) {
--- a/test/placement/retry-decision.test.ts
+++ b/test/placement/retry-decision.test.ts
@@ -1,4 +1,10 @@
-import { attemptEnd, createLatencyProfile, mayRetry, retryAfterSeconds } from "@trefoilladder/placement";
+import {
+    attemptEnd,
+    createLatencyProfile,
+    mayRetry,
+    retryAfterSeconds,
+    retryReserveShare,
+} from "@trefoilladder/placement";
 import type { RetryState } from "@trefoilladder/placement";
 import { createRandomSource } from "../../packages/routing/src/random-source";
 
@@ -59,3 +65,11 @@
         expect(overloadedWaits[450]! - overloadedWaits[50]!).toBeGreaterThan(0.7);
     });
 });
+
+// Guards against a service that sheds load and uses up the budget with retries of rejected requests: failed requests were not
+// retried, and no request probed the suspected targets.
+test("retries of rejected requests leave a part of the budget", () => {
+    expect(retryReserveShare(attemptEnd.notRun)).toBeGreaterThan(0.5);
+    expect(retryReserveShare(attemptEnd.failed)).toBe(0);
+    expect(retryReserveShare(attemptEnd.notArrived)).toBe(0);
+});
--- a/test/recovery/fleet-simulation.ts
+++ b/test/recovery/fleet-simulation.ts
@@ -7,6 +7,7 @@
     mayRetry,
     outcome,
     retryAfterSeconds,
+    retryReserveShare,
 } from "@trefoilladder/placement";
 import type { AttemptEnd, LatencyProfile, Outcome, RetryBudget } from "@trefoilladder/placement";
 import type { ListedTarget, TargetDirectory } from "@trefoilladder/replication";
@@ -297,7 +298,7 @@
                 maxAttempts,
                 failedConnections: 0,
                 remainingMs: endAt - now(),
-                budgetLeft: retryBudget.hasTokens(),
+                budgetLeft: retryBudget.hasTokens(retryReserveShare(end)),
                 bodyBuffered: true,
             });
             if (retries) {
