Let a cut-off instance earn its first token of a limit

A limit keeps room for one token however small its share is, and an instance that was cut off while its bucket was full kept a whole token: 103 at once, where their share of the burst is a third.

Change: the level follows the share when the share falls; the first token is earned at the reduced rate. Test: refused for 5 s, admitted at once before.

--- a/packages/limits/src/shared-limit.ts
+++ b/packages/limits/src/shared-limit.ts
@@ -119,6 +119,9 @@
         setContactShare(share, now) {
             refill(now);
             contactShare = share;
+            // Below one token, the share is earned at the reduced rate: a whole token at each of many instances that are cut off
+            // at once would exceed the burst.
+            level = Math.min(level, burst * share + withheld);
         },
         recordPause(pausedMs, now) {
             refill(now - pausedMs);
--- a/test/limits/shared-limit.test.ts
+++ b/test/limits/shared-limit.test.ts
@@ -218,6 +218,16 @@
         expect(maxInWindow(simulate(load), 5_000)).toBeLessThanOrEqual(allowedInWindow(load));
     });
 
+    // Guards against instances that are cut off one by one while their buckets are full and admit a whole request each at once: 100 of 290
+    // such instances admit more together than their share of the burst.
+    test("admits a cut-off instance's part of less than one token only once it is earned", () => {
+        const limit = createSharedLimit({ ratePerSecond: 58, burst: 60, now: 0, contactShare: 1 });
+        limit.setContactShare(1 / 290, 0);
+        expect(limit.take(0)).toBeGreaterThan(3_000);
+        expect(limit.take(5_000)).toBe(0);
+        expect(limit.take(5_000)).toBeGreaterThan(3_000);
+    });
+
     test("holds for any fleet size, rate and partition", () => {
         fc.assert(
             fc.property(
