--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -119,6 +119,7 @@
         }
     }
 
+    /** Returns what a response that is not relayed shows about the target; undefined when it shows nothing. */
     function outcomeOf(failedKind: Exclude<ResponseKind, "usable">): Outcome | undefined {
         if (failedKind === responseKind.notRun) {
             return shedOutcome(load);
--- a/packages/limits/src/limit-group.ts
+++ b/packages/limits/src/limit-group.ts
@@ -15,7 +15,7 @@
     /** Removes the limits whose names are not among these. */
     retain(names: ReadonlySet<string>): void;
     setContactShare(share: number): void;
-    /** Called each `tickIntervalMs` while the process runs; a late call shows that it was paused. */
+    /** Called several times a second while the process runs; a gap between two calls shows that it was paused. */
     tick(): void;
     /** Returns the monotonic time in milliseconds of the last contact with an instance; -Infinity without any. */
     lastContactAt(sender: string): number;
@@ -33,8 +33,7 @@
     resendsLeft: number;
 }
 
-/** Interval in milliseconds of the calls of `tick`, and the time since the last one after which the process was paused. */
-export const tickIntervalMs = 200;
+/** Time in milliseconds since the last `tick` after which the process counts as paused. */
 const pauseThresholdMs = 700;
 /** Maximum number of instances whose last contact is kept; the least recent one is evicted first. */
 const maxSenders = 4_096;
--- a/packages/placement/src/exploration.ts
+++ b/packages/placement/src/exploration.ts
@@ -4,16 +4,14 @@
  * Load pattern: a third of the targets of a busy service fail for a few seconds, one after the other. A target that is sound
  * again receives no request from which the instances could learn it, since requests that cannot be retried avoid it until its
  * evidence has decayed. Meanwhile the other targets carry its load, queue, and are suspected as well. Idempotent requests
- * try such targets again, at most one request per target and interval over all instances, while there is budget for their
- * retries.
+ * try such targets again while there is budget for their retries; a target that showed an outcome to any instance just now is
+ * left out, so that all instances together send it about one such request per interval.
  */
 
+import type { Candidate } from "./placement";
+
 /** State of a target that decides whether a request probes it. */
-export interface ProbeCandidate {
-    /** Probability that the target is unhealthy. */
-    unhealthyProbability: number;
-    /** Probability that the network path from this instance to the target is broken. */
-    pathFailureProbability: number;
+export interface ProbeCandidate extends Pick<Candidate, "unhealthyProbability" | "pathFailureProbability"> {
     /**
      * Time in milliseconds since any instance last observed an outcome at the target, or this one sent a request there;
      * Infinity before the first one.
