Allow retries of rejected requests with the budget of a process that has just started

Cause: the reserve of 0.6 that retries of rejected requests left was above the half with which a budget starts, so right after a start a request whose first target rejected it was refused (test/gateway, 'at an address that was taken over', 503).

A probe crosses failure domains with small transfers only, since a large response costs more than what it shows.

--- a/packages/gateway/src/attempt-run.ts
+++ b/packages/gateway/src/attempt-run.ts
@@ -81,7 +81,7 @@
 const hedgeReserveShare = 0.3;
 
 /** Share of the retry budget that must be left for a request to probe a suspected target. */
-const probeReserveShare = 0.5;
+const probeReserveShare = 0.3;
 
 /** Starts the attempts for a request. */
 export function startRun(parts: RunParts, options: RunOptions): AttemptRun {
@@ -130,12 +130,9 @@
         const canRetry = route.idempotent && options.bodyBuffered && arrivals + 1 < route.maxAttempts
             && retryBudget.hasTokens();
         const mayProbe = canRetry && arrivals === 0 && retryBudget.hasTokens(probeReserveShare);
-        const probed = mayProbe ? chooseProbe(candidates, parts.random) : undefined;
-        const chosen = probed ?? chooseTarget(
-            candidates,
-            { isRetryable: canRetry, transferKb: options.transferKb },
-            parts.random,
-        );
+        const profile = { isRetryable: canRetry, transferKb: options.transferKb };
+        const probed = mayProbe ? chooseProbe(candidates, profile, parts.random) : undefined;
+        const chosen = probed ?? chooseTarget(candidates, profile, parts.random);
         if (chosen === undefined) {
             return false;
         }
--- a/packages/placement/src/retry-decision.ts
+++ b/packages/placement/src/retry-decision.ts
@@ -43,9 +43,10 @@
 
 /**
  * Share of the retry budget that a retry leaves, by the end of the attempt. A service that sheds load would use up the budget with
- * retries of rejected requests, which can be refused instead; then nothing would probe the targets that are sound again.
+ * retries of rejected requests, which can be refused instead; then nothing would probe the targets that are sound again. The
+ * budget of a process that has just started is half full, and has to allow such retries.
  */
-const reserveShareByEnd: Record<AttemptEnd, number> = { not_arrived: 0, not_run: 0.6, failed: 0, unknown: 0 };
+const reserveShareByEnd: Record<AttemptEnd, number> = { not_arrived: 0, not_run: 0.4, failed: 0, unknown: 0 };
 
 /** Returns the share of the retry budget, from 0 to 1, that has to be left for other retries and probes. */
 export function retryReserveShare(end: AttemptEnd): number {
