Share the reserves of the retry budget between the gateway and the simulation

The simulation of recovery had its own copies of the reserves for hedged attempts and probes, which had to be changed by hand with those of the gateway. Both now use the constants beside retryReserveShare; values as before.

--- a/packages/gateway/src/attempt-run.ts
+++ b/packages/gateway/src/attempt-run.ts
@@ -7,8 +7,10 @@
     chooseProbe,
     chooseTarget,
     explainedWaitMs,
+    hedgeReserveShare,
     mayRetry,
     outcome,
+    probeReserveShare,
     retryReserveShare,
 } from "@trefoilladder/placement";
 import type { AttemptEnd, RetryBudget } from "@trefoilladder/placement";
@@ -77,11 +79,6 @@
 
 /** Time in milliseconds by which a timer may fire early. */
 const timerSlackMs = 5;
-/** Share of the retry budget that hedged attempts leave for retries after failures. */
-const hedgeReserveShare = 0.3;
-
-/** Share of the retry budget that must be left for a request to probe a suspected target. */
-const probeReserveShare = 0.3;
 
 /** Starts the attempts for a request. */
 export function startRun(parts: RunParts, options: RunOptions): AttemptRun {
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -12,7 +12,7 @@
 export { retryAfterKnownWaitSeconds, retryAfterSeconds } from "./retry-after";
 export { createRetryBudget, retryBucketTokens } from "./retry-budget";
 export type { RetryBudget, RetryBudgetBounds } from "./retry-budget";
-export { attemptEnd, mayRetry, retryReserveShare } from "./retry-decision";
+export { attemptEnd, hedgeReserveShare, mayRetry, probeReserveShare, retryReserveShare } from "./retry-decision";
 export type { AttemptEnd, RetryState } from "./retry-decision";
 export { createTargetHealth, outcome } from "./target-health";
 export type { Outcome, TargetHealth } from "./target-health";
--- a/packages/placement/src/retry-decision.ts
+++ b/packages/placement/src/retry-decision.ts
@@ -48,6 +48,11 @@
  */
 const reserveShareByEnd: Record<AttemptEnd, number> = { not_arrived: 0, not_run: 0.4, failed: 0, unknown: 0 };
 
+/** Share of the retry budget that hedged attempts leave for retries after failures. */
+export const hedgeReserveShare = 0.3;
+/** Share of the retry budget that must be left for a request to probe a suspected target. */
+export const probeReserveShare = 0.3;
+
 /** Returns the share of the retry budget, from 0 to 1, that has to be left for other retries and probes. */
 export function retryReserveShare(end: AttemptEnd): number {
     return reserveShareByEnd[end];
--- a/test/placement/retry-decision.test.ts
+++ b/test/placement/retry-decision.test.ts
@@ -2,6 +2,7 @@
     attemptEnd,
     createLatencyProfile,
     mayRetry,
+    probeReserveShare,
     retryAfterSeconds,
     retryReserveShare,
 } from "@trefoilladder/placement";
@@ -70,6 +71,7 @@
 // retried, and no request probed the suspected targets.
 test("retries of rejected requests leave a part of the budget", () => {
     expect(retryReserveShare(attemptEnd.notRun)).toBeGreaterThan(0.3);
+    expect(retryReserveShare(attemptEnd.notRun)).toBeGreaterThan(probeReserveShare);
     // A process starts with half of the budget and has to retry a request that the first target rejected.
     expect(retryReserveShare(attemptEnd.notRun)).toBeLessThan(0.5);
     expect(retryReserveShare(attemptEnd.failed)).toBe(0);
--- a/test/recovery/fleet-simulation.ts
+++ b/test/recovery/fleet-simulation.ts
@@ -4,8 +4,10 @@
     createLatencyProfile,
     createRetryBudget,
     explainedWaitMs,
+    hedgeReserveShare,
     mayRetry,
     outcome,
+    probeReserveShare,
     retryAfterSeconds,
     retryReserveShare,
 } from "@trefoilladder/placement";
@@ -99,9 +101,6 @@
 /** Weight of the newest request in an instance's share of refused requests. */
 const newestRequestWeight = 0.15;
 const retryRatio = 0.2;
-/** Shares of the retry budget that hedged attempts and probes leave; the gateway uses the same. */
-const hedgeReserveShare = 0.3;
-const probeReserveShare = 0.3;
 const service = "dossier";
 
 function listTargets(fleet: SimulatedFleet): ListedTarget[] {
