--- a/review/common/bed.mjs
+++ b/review/common/bed.mjs
@@ -40,6 +40,15 @@
     };
 }
 
+/** Processes that this case has started; none outlives it, however it ends. */
+const children = new Set();
+process.on("exit", () => children.forEach(child => child.kill("SIGKILL")));
+process.on("SIGTERM", () => process.exit(verdict.notRun));
+process.on("uncaughtException", error => {
+    process.stderr.write(`${error.stack}\n`);
+    process.exit(verdict.notRun);
+});
+
 async function freePort(host) {
     const server = createTcpServer().listen(0, host);
     await once(server, "listening");
@@ -282,6 +291,8 @@
             stdio: ["ignore", process.env.REVIEW_LOG === "1" ? "inherit" : "ignore", "inherit"],
         });
         instances.set(host, child);
+        children.add(child);
+        child.once("exit", () => children.delete(child));
         child.on(
             "exit",
             (code, signal) => record.add(`gateway ${host} (${child.pid}) ended, code ${code}, signal ${signal}`),
