Read a pooled connection again after a response that was paused at its end

Cause: a streamed response pauses the target's connection when the caller's buffer is full. When its last part did so, the exchange ended in the same read, no drain event followed, and the connection was pooled while paused. The next response on it was never read. The calls pause, resume and cancel also reached the next exchange on the connection.

Change: the end of an exchange resumes the connection, and an exchange is controlled only while it is in progress.

Of the new tests, five failed before (two of the pool, three of the gateway) and pass now; test/upstream and test/gateway/gateway pass (78 tests).

--- a/packages/upstream/src/connection-pool.ts
+++ b/packages/upstream/src/connection-pool.ts
@@ -3,7 +3,7 @@
  */
 
 import { createTargetConnection } from "./target-connection";
-import type { ExchangeListener, OutgoingRequest, TargetConnection } from "./target-connection";
+import type { ExchangeControl, ExchangeListener, OutgoingRequest, TargetConnection } from "./target-connection";
 
 /** Address at which a target listens. */
 export interface TargetAddress {
@@ -13,11 +13,7 @@
 }
 
 /** A request in progress. */
-export interface Exchange {
-    /** Ends the exchange; its listener is not called again. */
-    cancel(): void;
-    pause(): void;
-    resume(): void;
+export interface Exchange extends ExchangeControl {
     /** Whether the request is sent over a new connection. */
     readonly usesNewConnection: boolean;
 }
@@ -102,13 +98,8 @@
         exchange(target, maxIdleMs, request, listener) {
             const reused = takeIdle(target.id, maxIdleMs);
             const connection = reused ?? openConnection(target);
-            connection.exchange(request, listener);
-            return {
-                cancel: () => connection.destroy(),
-                pause: () => connection.pause(),
-                resume: () => connection.resume(),
-                usesNewConnection: reused === undefined,
-            };
+            const control = connection.exchange(request, listener);
+            return { ...control, usesNewConnection: reused === undefined };
         },
         closeIdleConnections(target) {
             [...idleConnections.get(target) ?? []].forEach(connection => connection.destroy());
--- a/packages/upstream/src/target-connection.ts
+++ b/packages/upstream/src/target-connection.ts
@@ -57,12 +57,19 @@
     skipped(id: string, head: ResponseHead): void;
 }
 
+/** Control of a request in progress; after its end, when the connection may carry another request, the calls do nothing. */
+export interface ExchangeControl {
+    /** Closes the connection; the listener is not called again. */
+    cancel(): void;
+    /** Stops reading the response until `resume`. */
+    pause(): void;
+    resume(): void;
+}
+
 /** A connection that is established or being established. */
 export interface TargetConnection {
     /** Sends a request as soon as the connection is established. */
-    exchange(request: OutgoingRequest, listener: ExchangeListener): void;
-    pause(): void;
-    resume(): void;
+    exchange(request: OutgoingRequest, listener: ExchangeListener): ExchangeControl;
     /** Closes the connection; the listener of a running exchange is not called again. */
     destroy(): void;
     /** Monotonic time in milliseconds at which the last exchange ended; undefined before the first and during an exchange. */
@@ -152,6 +159,12 @@
         }
     }
 
+    /** Closes the connection without calling the listener of a running exchange. */
+    function abandon(): void {
+        current = undefined;
+        destroy();
+    }
+
     function fail(code: ExchangeFailure["code"], message: string, cause?: Error): void {
         const listener = current?.listener;
         current = undefined;
@@ -172,6 +185,8 @@
             // After an early response the target still expects the rest of the body and would read the next request as part of it.
             destroy();
         }
+        // The listener may have paused the connection in the last read; the next response on it must be read.
+        socket.resume();
         listener.end();
         if (!closed) {
             options.idle();
@@ -292,9 +307,19 @@
 
     connect();
 
+    /** Returns an action that only takes place while `exchange` is in progress. */
+    function during(exchange: typeof current, action: () => void): () => void {
+        return () => {
+            if (current === exchange) {
+                action();
+            }
+        };
+    }
+
     return {
         exchange(request, listener) {
-            current = { request, listener };
+            const exchange = { request, listener };
+            current = exchange;
             hasResponse = false;
             bytesBeforeResponse = 0;
             headsBeforeResponse = 0;
@@ -308,13 +333,13 @@
                     send();
                 }
             });
+            return {
+                cancel: during(exchange, abandon),
+                pause: during(exchange, () => socket.pause()),
+                resume: during(exchange, () => socket.resume()),
+            };
         },
-        pause: () => void socket.pause(),
-        resume: () => void socket.resume(),
-        destroy() {
-            current = undefined;
-            destroy();
-        },
+        destroy: abandon,
         get idleSince() {
             return idleSince;
         },
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -280,6 +280,23 @@
         expect(result.body.length).toBe(900_000);
     });
 
+    // Guards against a request that runs and is never answered: the connection of an earlier large response stayed paused.
+    test.each([200_000, 300_000, 540_000])(
+        "receives the response to a request that follows one of %d bytes on the same connection",
+        async bytes => {
+            const largeFirst: Responder = (socket, request, id) => {
+                const text = responseText(id, request === 1 ? "y".repeat(bytes) : "ok");
+                socket.write(text.slice(0, -20_000));
+                setTimeout(() => socket.write(text.slice(-20_000)), text.length > 20_000 ? 50 : 0);
+            };
+            await start([largeFirst]);
+            expect((await callFirst()).body.length).toBe(bytes);
+            const result = await callFirst({ ...nonIdempotent, deadlineMs: 1_000 });
+            expect(result).toMatchObject({ status: 200, body: "ok" });
+            expect(fleet.targets[0]!.connections()).toBe(1);
+        },
+    );
+
     // A length of 0 would indicate to the caller that the resource is empty.
     test("receives the length of the body that the response to a HEAD request omits", async () => {
         await start([(socket, _, id) => void socket.write(responseText(id, "12345").replace(/12345$/, ""))]);
--- a/test/upstream/connection-pool.test.ts
+++ b/test/upstream/connection-pool.test.ts
@@ -1,4 +1,4 @@
-import type { ConnectionPool } from "@trefoilladder/upstream";
+import type { ConnectionPool, Exchange } from "@trefoilladder/upstream";
 import type { Socket } from "node:net";
 import { setTimeout as delay } from "node:timers/promises";
 import { createPool, exchange, responseText, startScriptedTarget } from "./scripted-target";
@@ -43,11 +43,31 @@
         expect(target.connections()).toBe(1);
     });
 
+    // Guards against a response that is never read: the previous one on its connection was paused in its last read.
+    test("are read again after a response that was paused at its end", async () => {
+        await start((socket, _, id) => socket.write(responseText(id)));
+        await exchange(pool, target.port, "a", { onData: control => control.pause() });
+        expect(await exchange(pool, target.port, "b")).toMatchObject({ body: "ok" });
+        expect(target.connections()).toBe(1);
+    });
+
+    // Guards against a caller whose response stalls because the previous caller on the connection is slow or leaves.
+    test("are not controlled by an exchange that has ended", async () => {
+        await start((socket, _, id) => socket.write(responseText(id)));
+        let first: Exchange | undefined;
+        await exchange(pool, target.port, "a", { onData: control => first = control });
+        const second = exchange(pool, target.port, "b");
+        first!.pause();
+        first!.cancel();
+        expect(await second).toMatchObject({ body: "ok" });
+        expect(target.connections()).toBe(1);
+    });
+
     test("are not reused after the maximum idle time of the caller", async () => {
         await start((socket, _, id) => socket.write(responseText(id)));
         await exchange(pool, target.port, "a");
         await delay(30);
-        await exchange(pool, target.port, "b", 10);
+        await exchange(pool, target.port, "b", { maxIdleMs: 10 });
         expect(target.connections()).toBe(2);
     });
 
@@ -182,7 +202,7 @@
     test("send nothing when the request is withdrawn before the connection is established", async () => {
         const target = await startScriptedTarget((socket, _, id) => void socket.write(responseText(id)));
         const pool = createPool();
-        const outcome = await exchange(pool, target.port, "a", 1_000, () => false);
+        const outcome = await exchange(pool, target.port, "a", { canBeSent: () => false });
         expect(outcome).toMatchObject({ failure: "withdrawn", body: "" });
         expect(target.requests).toEqual([]);
         pool.close();
--- a/test/upstream/scripted-target.ts
+++ b/test/upstream/scripted-target.ts
@@ -1,5 +1,5 @@
 import { createConnectionPool } from "@trefoilladder/upstream";
-import type { ConnectionPool, ResponseHead } from "@trefoilladder/upstream";
+import type { ConnectionPool, Exchange, ResponseHead } from "@trefoilladder/upstream";
 import { once } from "node:events";
 import { createServer } from "node:net";
 import type { AddressInfo, Server, Socket } from "node:net";
@@ -66,6 +66,14 @@
     skipped: string[];
 }
 
+/** Options of an exchange. */
+export interface ExchangeOptions {
+    maxIdleMs?: number;
+    canBeSent?(): boolean;
+    /** Called for each received part of the body. */
+    onData?(control: Exchange): void;
+}
+
 /** Creates a pool for tests. */
 export function createPool(keepsConnections: () => boolean = () => true): ConnectionPool {
     return createConnectionPool({
@@ -81,12 +89,11 @@
     pool: ConnectionPool,
     port: number,
     id: string,
-    maxIdleMs = 1_000,
-    canBeSent = () => true,
+    { maxIdleMs = 1_000, canBeSent = () => true, onData = () => undefined }: ExchangeOptions = {},
 ): Promise<ExchangeOutcome> {
     return new Promise(resolve => {
         const outcome: ExchangeOutcome = { body: "", skipped: [] };
-        pool.exchange({ id: "t", address: "127.0.0.1", port }, maxIdleMs, {
+        const control = pool.exchange({ id: "t", address: "127.0.0.1", port }, maxIdleMs, {
             id,
             method: "GET",
             canBeSent,
@@ -95,7 +102,10 @@
         }, {
             sent: () => undefined,
             head: head => outcome.head = head,
-            data: chunk => outcome.body += chunk.toString("latin1"),
+            data(chunk) {
+                outcome.body += chunk.toString("latin1");
+                onData(control);
+            },
             end: () => resolve(outcome),
             fail: failure => resolve({ ...outcome, failure: failure.code }),
             skipped: skipped => outcome.skipped.push(skipped),
