Read the rest of an upload when its target's connection has closed

Callers saw: after an early response to a long upload, a connection on which no further request was read.

Cause: the body is paused while the target's connection is full and resumed by its drain event. After an early response the connection is closed, and a closed connection emits no drain event.

Change: a connection that closes calls the listener of onDrain, so the rest of the body is read and discarded.

Evidence: the new test of the gateway waited 5 s in vain for a second response before and passes in 1.2 s now.

--- a/packages/upstream/src/target-connection.ts
+++ b/packages/upstream/src/target-connection.ts
@@ -26,7 +26,7 @@
 export interface BodyWriter {
     /** Returns whether more can be written now; if not, the caller waits for `onDrain` before the next call. */
     write(bytes: Buffer): boolean;
-    /** Registers a listener that is called each time more can be written. */
+    /** Sets the listener that is called each time more can be written, and when the connection closes and discards what follows. */
     onDrain(listener: () => void): void;
     /** Marks the body as complete. */
     end(): void;
@@ -139,6 +139,7 @@
     let idleSince: number | undefined;
     let idleLimitMs = 0;
     let bodySent = false;
+    let bodyDrained: (() => void) | undefined;
     let skipping = false;
     let hasResponse = false;
     let bytesBeforeResponse = 0;
@@ -156,6 +157,7 @@
             clearTimeout(openingTimer);
             socket.destroy();
             options.closed();
+            bodyDrained?.();
         }
     }
 
@@ -237,12 +239,12 @@
             return;
         }
         bodySent = false;
-        socket.removeAllListeners("drain");
+        bodyDrained = undefined;
         socket.write(request.head(), "latin1");
         listener.sent();
         request.writeBody({
             write: bytes => closed || socket.write(bytes),
-            onDrain: resume => void socket.on("drain", resume),
+            onDrain: listener => bodyDrained = listener,
             end: () => bodySent = true,
         });
     }
@@ -295,6 +297,7 @@
             fail("garbled", "the target sent an invalid response", error);
         }
     });
+    socket.on("drain", () => bodyDrained?.());
     socket.on("end", () => {
         const error = parser.finish();
         if (current !== undefined) {
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -351,6 +351,30 @@
         expect(fleet.targets[0]!.connections()).toBe(2);
     });
 
+    // Guards against a connection that hangs: the upload is paused when the target responds early, and nothing resumes it.
+    test("may send a further request after a long body that got an early response", async () => {
+        const uploadBytes = 16_000_000;
+        const earlyFirst: Responder = (socket, request, id) => {
+            if (request === 1) {
+                socket.pause();
+            }
+            setTimeout(() => socket.write(responseText(id, request === 1 ? "early" : "later")), 300);
+        };
+        const limits = { ...configuration().limits, maxBodyBytes: 2 * uploadBytes };
+        await start([earlyFirst], { configuration: configuration({ limits }) });
+        const socket = connect(fleet.callers[0]!);
+        let received = "";
+        socket.on("data", chunk => received += chunk.toString());
+        const head = (id: string, bytes: number) =>
+            `POST /filing/1 HTTP/1.1\r\nHost: laurel.example\r\nRequest-Id: ${id}\r\nDeadline-Ms: 3000\r\n`
+            + `Authorization: Bearer key-1\r\nContent-Length: ${bytes}\r\n\r\n`;
+        socket.write(head("long", uploadBytes) + "b".repeat(uploadBytes));
+        await waitUntil(() => received.includes("early"));
+        socket.write(head("next", 1) + "b");
+        await waitUntil(() => received.includes("later"));
+        socket.destroy();
+    });
+
     test("that disconnects cancels its idempotent request", async () => {
         let closed = false;
         await start([socket => void socket.on("close", () => closed = true)]);
