Reset the caller's connection when a response without a length is broken off

Cause: a body without a length ends with its connection, and a response that was broken off was closed with a FIN.

Change: breakOffResponse resets such a connection. It is used wherever a response that has begun is given up: the target's failure, the end of the time for a stream, a failed upload, an unexpected error, the end of the process.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -13,6 +13,7 @@
 import { randomBytes } from "node:crypto";
 import { setMaxListeners } from "node:events";
 import { createServer } from "node:http";
+import type { ServerResponse } from "node:http";
 import { createCallerServer } from "./caller-server";
 import { createConfigurationState } from "./configuration-state";
 import { createCopyListener } from "./copy-server";
@@ -22,6 +23,7 @@
 import { createRateLimits } from "./rate-limits";
 import { registerInstance } from "./registration";
 import { createRequestFlow } from "./request-flow";
+import { breakOffResponse } from "./response-relay";
 import { createRouteProfiles } from "./route-profile";
 import { createServiceStates } from "./service-states";
 import type { GatewaySettings, InvalidSettings } from "./settings";
@@ -56,7 +58,8 @@
     const log = createDecisionLog({ instance: settings.instance, level: settings.logLevel });
     let inForce = settings;
     let stopTimes: StopTimes | undefined;
-    let running = 0;
+    /** Responses that have not been sent completely. */
+    const pendingResponses = new Set<ServerResponse>();
 
     const pool = createConnectionPool({
         now,
@@ -90,7 +93,7 @@
         targets: () => directory.size,
         contact_share: () => mesh.contactShare(),
         connections_opened: () => pool.openedCount,
-        requests_running: () => running,
+        requests_running: () => pendingResponses.size,
         store_answer_age_seconds: () => (now() - streams.lastResponseAt()) / 1_000,
     });
     const configuration = createConfigurationState({
@@ -161,8 +164,8 @@
         stopTimes: () => stopTimes,
     });
     const callers = createCallerServer((incoming, outgoing) => {
-        running += 1;
-        outgoing.on("close", () => running -= 1);
+        pendingResponses.add(outgoing);
+        outgoing.on("close", () => pendingResponses.delete(outgoing));
         flow(incoming, outgoing);
     });
     const isReady = () => stopTimes === undefined && configuration.current() !== undefined && directory.size > 0;
@@ -224,7 +227,7 @@
     log.lifecycle("started", { callers: settings.callers });
 
     async function stop(): Promise<void> {
-        log.lifecycle("stopping", { running });
+        log.lifecycle("stopping", { running: pendingResponses.size });
         const times = planStop(now(), inForce.stopSeconds * 1_000);
         stopTimes = times;
         await stopServing({
@@ -232,13 +235,14 @@
             clock,
             log,
             times,
-            running: () => running,
+            running: () => pendingResponses.size,
         });
         stopping.abort();
         clearInterval(connectionCheck);
         clearInterval(summaryTimer);
         await Promise.all(tasks);
         await mesh.stop();
+        pendingResponses.forEach(breakOffResponse);
         for (const server of [readiness, peerServer, metricsServer, callers.server]) {
             server.close();
             server.closeAllConnections();
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -23,7 +23,7 @@
 import { maxBufferedRequestBytes, readBody, streamBody } from "./request-body";
 import type { BodyProblem, RequestBody } from "./request-body";
 import { impliesNotRun } from "./response-check";
-import { sendResponse, streamResponse } from "./response-relay";
+import { breakOffResponse, sendResponse, streamResponse } from "./response-relay";
 import type { createRouteProfiles } from "./route-profile";
 import type { ServiceState } from "./service-states";
 import { canFinish } from "./stop";
@@ -265,7 +265,7 @@
             bodyBuffered: body.buffered !== undefined,
             endAt: admitted.endAt,
             lateAfterMs: profile.latency.lateAfterMs(route.latencyObjectiveMs),
-            requestFor: target => outgoingRequest(admitted, body, target.id, () => outgoing.destroy()),
+            requestFor: target => outgoingRequest(admitted, body, target.id, () => breakOffResponse(outgoing)),
             maxBufferedBytes: maxBufferedResponseBytes,
         });
         outgoing.on("close", () => {
@@ -379,7 +379,7 @@
         };
         const timer = setTimeout(() => {
             aborted();
-            outgoing.destroy();
+            breakOffResponse(outgoing);
         }, Math.max(0, remainingMs) + streamGraceMs);
         outgoing.on("close", () => clearTimeout(timer));
         streamResponse(outgoing, { attempt, result, close: isStopping() }, {
@@ -396,7 +396,7 @@
     return (incoming, outgoing) => {
         handle(incoming, outgoing).catch((error: Error) => {
             log.fault("request_flow", { message: error.message, stack: error.stack });
-            outgoing.destroy();
+            breakOffResponse(outgoing);
         });
     };
 }
--- a/packages/gateway/src/response-relay.ts
+++ b/packages/gateway/src/response-relay.ts
@@ -34,6 +34,18 @@
     outgoing.writeHead(head.status, head.reason, headers);
 }
 
+/**
+ * Ends a response before its body is complete. The close of the connection would complete a body that has neither a length nor
+ * chunks, so the connection is reset.
+ */
+export function breakOffResponse(outgoing: ServerResponse): void {
+    const endsWithConnection = outgoing.headersSent && !outgoing.useChunkedEncodingByDefault;
+    if (endsWithConnection) {
+        outgoing.socket?.resetAndDestroy();
+    }
+    outgoing.destroy();
+}
+
 /** Sends a response that has been received completely; `close` closes the caller's connection after it. */
 export function sendResponse(
     outgoing: ServerResponse,
@@ -79,7 +91,7 @@
         },
         fail() {
             listener.aborted();
-            outgoing.destroy();
+            breakOffResponse(outgoing);
         },
     });
 }
--- a/test/gateway/caller.ts
+++ b/test/gateway/caller.ts
@@ -31,6 +31,10 @@
 export function call(at: { host: string; port: number; }, options: CallerOptions = {}): Promise<CallerResult> {
     const startedAt = performance.now();
     const ms = () => performance.now() - startedAt;
+    // Node.js takes a body without a length as complete when its connection is reset, and reports the end of the connection in
+    // place of the reset when it still has data to read. The remote address is undefined after a reset.
+    let isReset = false;
+    let hasResponse = false;
     return new Promise(resolve => {
         const outgoing = request({
             ...at,
@@ -46,20 +50,29 @@
                 ...options.headers,
             },
         }, response => {
+            hasResponse = true;
             const chunks: Buffer[] = [];
             const finish = () =>
                 resolve({
                     status: response.statusCode ?? 0,
                     headers: response.headers,
                     body: Buffer.concat(chunks).toString(),
-                    complete: response.complete,
+                    complete: response.complete && !isReset,
                     ms: ms(),
                 });
             response.on("data", (chunk: Buffer) => chunks.push(chunk));
             response.on("close", finish);
             response.on("error", finish);
         });
-        outgoing.on("error", () => resolve({ status: 0, headers: {}, body: "", complete: false, ms: ms() }));
+        outgoing.on("socket", socket => {
+            socket.prependListener("end", () => isReset ||= socket.remoteAddress === undefined);
+        });
+        outgoing.on("error", () => {
+            isReset = true;
+            if (!hasResponse) {
+                resolve({ status: 0, headers: {}, body: "", complete: false, ms: ms() });
+            }
+        });
         outgoing.end(options.body);
     });
 }
--- a/test/gateway/truncated-responses.test.ts
+++ b/test/gateway/truncated-responses.test.ts
@@ -1,3 +1,4 @@
+import { setTimeout as delay } from "node:timers/promises";
 import { call, waitUntil } from "./caller";
 import { startFleet } from "./fixtures";
 import type { Fleet, Responder } from "./fixtures";
@@ -41,3 +42,60 @@
         60_000,
     );
 });
+
+/** Writes a response without a length in parts of 16 KB until the connection closes, or until `bytes` have been written. */
+function writeUnframed(socket: Parameters<Responder>[0], id: string, bytes: number, written: () => void): void {
+    socket.write(`HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nResponse-Signature: s\r\nConnection: close\r\n\r\n`);
+    let rest = bytes;
+    const timer = setInterval(() => {
+        socket.write("x".repeat(16_384));
+        rest -= 16_384;
+        if (rest <= 0) {
+            clearInterval(timer);
+            written();
+        }
+    }, 5);
+    socket.on("close", () => clearInterval(timer));
+}
+
+// Guards against a part of a body without a length that looks complete, since the connection to the caller was closed, not reset.
+describe("a streamed response without a length", () => {
+    const streamedBytes = 500_000;
+
+    async function start(responder: Responder): Promise<void> {
+        fleet = await startFleet({ responders: [responder] });
+        await waitUntil(async () => (await call(fleet.callers[0]!, { path: "/none/" })).status === 404);
+    }
+
+    test("is complete when the target closes the connection", async () => {
+        await start((socket, _, id) => writeUnframed(socket, id, streamedBytes, () => socket.end()));
+        const result = await call(fleet.callers[0]!);
+        expect(result).toMatchObject({ status: 200, complete: true });
+        expect(result.body.length).toBeGreaterThanOrEqual(streamedBytes);
+    });
+
+    test("is incomplete when the target resets the connection", async () => {
+        await start((socket, _, id) =>
+            writeUnframed(socket, id, streamedBytes, () => void setTimeout(() => socket.resetAndDestroy(), 100))
+        );
+        expect(await call(fleet.callers[0]!)).toMatchObject({ status: 200, complete: false });
+    });
+
+    test("is incomplete when the caller's deadline has passed", async () => {
+        await start((socket, _, id) => writeUnframed(socket, id, Infinity, () => undefined));
+        expect(await call(fleet.callers[0]!, { deadlineMs: 500 })).toMatchObject({ status: 200, complete: false });
+    });
+
+    test("is incomplete when the instance ends", async () => {
+        let begun = false;
+        await start((socket, _, id) => {
+            begun = true;
+            writeUnframed(socket, id, Infinity, () => undefined);
+        });
+        const result = call(fleet.callers[0]!);
+        await waitUntil(() => begun);
+        await delay(200);
+        await fleet.gateways[0]!.stop();
+        expect(await result).toMatchObject({ status: 200, complete: false });
+    });
+});
