Take the length of a streamed response from the parser, not from its header

Cause: the parser follows chunks where a response has both chunks and a Content-Length, but the relay passed that length on.

Change: the parser reports the length it applies. Related: a Transfer-Encoding that is not exactly chunked is invalid, since the library ignores it and would take the chunks for the body.

Three new tests failed before (1,000 of 300,000 bytes; two encodings accepted) and pass now.

--- a/packages/gateway/src/response-relay.ts
+++ b/packages/gateway/src/response-relay.ts
@@ -2,7 +2,6 @@
  * Relays responses of targets to callers.
  */
 
-import { headerValue } from "@trefoilladder/upstream";
 import type { ResponseHead } from "@trefoilladder/upstream";
 import type { ServerResponse } from "node:http";
 import type { Attempt, AttemptResult } from "./attempt";
@@ -18,7 +17,7 @@
 function beginResponse(
     outgoing: ServerResponse,
     head: ResponseHead,
-    { length, close }: { length: string | undefined; close: boolean; },
+    { length, close }: { length: number | undefined; close: boolean; },
 ): void {
     const headers = endToEndHeaders(head);
     if (head.isCloseDelimited) {
@@ -26,7 +25,7 @@
         outgoing.useChunkedEncodingByDefault = false;
     }
     else if (length !== undefined) {
-        headers.push("Content-Length", length);
+        headers.push("Content-Length", String(length));
     }
     if (head.isCloseDelimited || close) {
         headers.push("Connection", "close");
@@ -57,7 +56,7 @@
     }
     // The response to a HEAD request carries the length of a body that is not sent.
     const isHead = outgoing.req.method === "HEAD";
-    const length = isHead ? headerValue(head, "content-length") : String(body.length);
+    const length = isHead ? head.bodyLength : body.length;
     beginResponse(outgoing, head, { length, close });
     outgoing.end(body);
 }
@@ -76,7 +75,7 @@
         attempt.cancel();
         return;
     }
-    beginResponse(outgoing, result.head, { length: headerValue(result.head, "content-length"), close });
+    beginResponse(outgoing, result.head, { length: result.head.bodyLength, close });
     outgoing.on("drain", () => attempt.resume());
     outgoing.on("close", () => attempt.cancel());
     result.attach({
--- a/packages/upstream/src/response-parser.ts
+++ b/packages/upstream/src/response-parser.ts
@@ -15,6 +15,8 @@
     headers: readonly string[];
     /** Whether the close of the connection ends the body, because the response declares no length. */
     isCloseDelimited: boolean;
+    /** Length in bytes by which the end of the body is found; undefined when chunks or the close of the connection end it. */
+    bodyLength: number | undefined;
 }
 
 /** Receives the parts of the responses on a connection. */
@@ -73,11 +75,21 @@
     };
 }
 
-function hasInvalidContentLength(headers: readonly string[]): boolean {
-    const values = headers.filter((_, index) =>
-        index % 2 === 1 && headers[index - 1]!.toLowerCase() === "content-length"
-    );
-    return values.some(value => !/^\d{1,15}$/.test(value));
+/** Returns the values of a header by its lower-case name. */
+function headerValues(headers: readonly string[], name: string): string[] {
+    return headers.filter((_, index) => index % 2 === 1 && headers[index - 1]!.toLowerCase() === name);
+}
+
+/** Returns an error when the headers declare a framing of the body that the library would misinterpret. */
+function findFramingError(headers: readonly string[]): Error | undefined {
+    if (headerValues(headers, "content-length").some(value => !/^\d{1,15}$/.test(value))) {
+        return new Error("the Content-Length header is not a number");
+    }
+    const encodings = headerValues(headers, "transfer-encoding");
+    if (encodings.length > 1 || encodings.some(value => value.toLowerCase() !== "chunked")) {
+        return new Error("the Transfer-Encoding header is not 'chunked'");
+    }
+    return undefined;
 }
 
 /** Creates the parser of a connection. */
@@ -85,7 +97,7 @@
     const parser = new HTTPParser(HTTPParser.RESPONSE);
     const internals = parser as unknown as ParserInternals;
     useStrictChunkSizes(internals);
-    let lengthError: Error | undefined;
+    let framingError: Error | undefined;
 
     parser[HTTPParser.kOnHeadersComplete] = info => {
         const { statusCode, statusMessage, headers } = info as unknown as {
@@ -93,8 +105,8 @@
             statusMessage: string;
             headers: string[];
         };
-        if (hasInvalidContentLength(headers)) {
-            lengthError = new Error("the Content-Length header is not a number");
+        framingError = findFramingError(headers);
+        if (framingError !== undefined) {
             return;
         }
         const isCloseDelimited = internals.body_bytes === null && !internals.isChunked;
@@ -103,15 +115,16 @@
             reason: statusMessage,
             headers,
             isCloseDelimited,
+            bodyLength: internals.body_bytes ?? undefined,
         }) as unknown as void;
     };
     parser[HTTPParser.kOnBody] = (chunk, offset, length) => {
-        if (lengthError === undefined) {
+        if (framingError === undefined) {
             listener.body(chunk.subarray(offset, offset + length));
         }
     };
     parser[HTTPParser.kOnMessageComplete] = () => {
-        if (lengthError === undefined) {
+        if (framingError === undefined) {
             listener.end(internals.offset < internals.end);
         }
     };
@@ -126,7 +139,7 @@
     return {
         execute(chunk) {
             const result: unknown = parser.execute(chunk);
-            return lengthError ?? (result instanceof Error ? result : checkFraming());
+            return framingError ?? (result instanceof Error ? result : checkFraming());
         },
         finish() {
             const result: unknown = parser.finish();
--- a/test/gateway/attempt-run.test.ts
+++ b/test/gateway/attempt-run.test.ts
@@ -16,7 +16,7 @@
 
 function head(status: number, id: string): ResponseHead {
     const fields = ["Request-Id", id, "Response-Signature", "s"];
-    return { status, reason: "", headers: fields, isCloseDelimited: false };
+    return { status, reason: "", headers: fields, isCloseDelimited: false, bodyLength: undefined };
 }
 
 function candidate(index: number, fields: Partial<TargetCandidate> = {}): TargetCandidate {
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -297,6 +297,18 @@
         },
     );
 
+    // Guards against a part of a body that is complete by a wrong length beside chunks, and the rest where no response is due.
+    test("receives the whole of a large chunked body that has a wrong length beside it", async () => {
+        const head =
+            "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nResponse-Signature: s\r\nContent-Length: 1000\r\nTransfer-Encoding: chunked\r\n\r\n";
+        const body = `${(300_000).toString(16)}\r\n${"x".repeat(300_000)}\r\n0\r\n\r\n`;
+        await start([(socket, _, id) => void socket.write(head.replace("ID", id) + body)]);
+        const result = await callFirst();
+        expect(result).toMatchObject({ status: 200, complete: true });
+        expect(result.body.length).toBe(300_000);
+        expect(result.headers["content-length"]).toBeUndefined();
+    });
+
     // A length of 0 would indicate to the caller that the resource is empty.
     test("receives the length of the body that the response to a HEAD request omits", async () => {
         await start([(socket, _, id) => void socket.write(responseText(id, "12345").replace(/12345$/, ""))]);
--- a/test/upstream/connection-pool.test.ts
+++ b/test/upstream/connection-pool.test.ts
@@ -119,6 +119,18 @@
             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\nzz\r\n\r\n",
             "garbled",
         ],
+        // The library would take the chunks of such a body for the body itself.
+        [
+            "an encoding beside chunks",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\nContent-Length: 12\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+            "garbled",
+        ],
+        [
+            "two encodings",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\nContent-Length: 12\r\n\r\n"
+            + "2\r\nok\r\n0\r\n\r\n",
+            "garbled",
+        ],
     ])("fail on %s", async (_, text, failure) => {
         await start(socket => socket.write(text));
         expect(await exchange(pool, target.port, "a")).toMatchObject({ failure });
