Reject a second response within a body that has no length

Cause: a body without a length ends with its connection, so the parser takes a second answer for more of it.

Change: such a body is searched for the head of another response, whole or cut. Where there is one, the response is invalid.

Evidence: five new tests of the pool failed before and pass now; three more show that bodies about HTTP still complete.

--- a/packages/upstream/src/target-connection.ts
+++ b/packages/upstream/src/target-connection.ts
@@ -6,6 +6,8 @@
 import { Socket } from "node:net";
 import { createResponseParser } from "./response-parser";
 import type { ResponseHead } from "./response-parser";
+import { createSecondResponseCheck } from "./second-response";
+import type { SecondResponseCheck } from "./second-response";
 
 /** Codes of the reasons why an exchange with a target ended without a complete response. */
 export const exchangeFailureCode = {
@@ -143,6 +145,8 @@
     let bodyDrained: (() => void) | undefined;
     let skipping = false;
     let hasResponse = false;
+    /** Check of a body that ends with the connection; undefined for other bodies. */
+    let secondResponseCheck: SecondResponseCheck | undefined;
     let bytesBeforeResponse = 0;
     let headsBeforeResponse = 0;
 
@@ -214,13 +218,21 @@
             }
             hasResponse = true;
             idleLimitMs = idleLimitOf(head);
+            secondResponseCheck = head.isCloseDelimited
+                ? createSecondResponseCheck(options.requestIdHeader)
+                : undefined;
             current.listener.head(head);
             return current?.request.method === "HEAD";
         },
         body(chunk) {
-            if (!skipping) {
-                current?.listener.data(chunk);
+            if (skipping) {
+                return;
+            }
+            if (secondResponseCheck?.contains(chunk) === true) {
+                fail("garbled", "another response follows in a body without a length");
+                return;
             }
+            current?.listener.data(chunk);
         },
         end(hasTrailingBytes) {
             if (skipping) {
@@ -307,8 +319,18 @@
         return socket.remoteAddress === undefined;
     }
 
+    /** Returns an error when the end of the connection does not complete a body that ends with it. */
+    function findEndError(): Error | undefined {
+        if (isReset()) {
+            return new Error("the connection was reset");
+        }
+        return secondResponseCheck?.endsWithin() === true
+            ? new Error("the body ends within the head of another response")
+            : undefined;
+    }
+
     socket.on("end", () => {
-        const error = isReset() ? new Error("the connection was reset") : parser.finish();
+        const error = findEndError() ?? parser.finish();
         if (current !== undefined) {
             fail(lossCode(), "the target closed the connection", error);
         }
--- a/test/upstream/connection-pool.test.ts
+++ b/test/upstream/connection-pool.test.ts
@@ -189,6 +189,39 @@
         },
     );
 
+    // Guards against a second response that is taken for more of a body without a length, whole or cut, in one piece or in many.
+    test.each([
+        ["of the same request", "a", 1, 10_000],
+        ["of another request", "other", 1, 10_000],
+        ["in small pieces", "a", 1, 3],
+        ["that is cut in its head", "a", 0.5, 10_000],
+        ["that is cut in its status line", "a", 0.2, 10_000],
+    ])("fail when a response without a length is followed by one %s", async (_, secondId, share, pieceBytes) => {
+        const first = `HTTP/1.1 200 OK\r\nRequest-Id: a\r\nResponse-Signature: s\r\n\r\n${"x".repeat(5_000)}`;
+        const head = `HTTP/1.1 200 OK\r\nRequest-Id: ${secondId}\r\nResponse-Signature: s\r\n\r\n`;
+        const second = share < 1 ? head.slice(0, Math.round(share * head.length)) : head + "x".repeat(5_000);
+        await start(async socket => {
+            socket.write(first);
+            await delay(20);
+            for (let index = 0; index < Math.min(second.length, 600); index += pieceBytes) {
+                socket.write(second.slice(index, index + pieceBytes));
+                await delay(1);
+            }
+            socket.end();
+        });
+        expect((await exchange(pool, target.port, "a")).failure).toBeDefined();
+    });
+
+    // Guards against a document about HTTP that is taken for a second response.
+    test.each([
+        ["a status line", "The server sends HTTP/1.1 200 OK\r\nand closes."],
+        ["a head without the id of a request", "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nok"],
+        ["a version at its end", "see HTTP/1.1"],
+    ])("complete a response without a length that contains %s", async (_, body) => {
+        await start(socket => void socket.end(`HTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\n${body}`));
+        expect(await exchange(pool, target.port, "a")).toMatchObject({ body });
+    });
+
     // Guards against the opposite: a whole body whose connection is closed in the same moment.
     test.each([1, 5_000, 100_000])(
         "complete a response without a length that is closed right after its %d bytes",
