Answer every request on a connection before a planned stop closes it

Cause: Node.js takes a connection as idle once its response has been ended, sent or not, and closes it with the responses that wait behind. Beside this, each response of a stop announced the close of its connection, also the first of several pipelined ones.

Change: caller-connections.ts knows the responses on each connection until they have been sent. A connection is closed once it has none, only the response to its newest request announces the close, and a request behind that response is not sent to a target.

--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -1,6 +1,7 @@
 import type { CallerLimits } from "@trefoilladder/serving";
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { CallerConnections } from "./caller-connections";
 
 /** HTTP server for callers. */
 export interface CallerServer {
@@ -15,14 +16,28 @@
 const checkIntervalMs = 500;
 
 /** Creates the HTTP server for callers. */
-export function createCallerServer(
-    listener: (incoming: IncomingMessage, outgoing: ServerResponse) => void,
-): CallerServer {
+export function createCallerServer({ connections, handle, ignored }: {
+    connections: CallerConnections;
+    handle(incoming: IncomingMessage, outgoing: ServerResponse): void;
+    /** Called for a request behind a response that closes its connection; it is not handled. */
+    ignored(incoming: IncomingMessage): void;
+}): CallerServer {
     const server = createServer(
         { maxHeaderSize, connectionsCheckingInterval: checkIntervalMs, keepAliveTimeout: 15_000, requestTimeout: 0 },
-        listener,
+        (incoming, outgoing) => {
+            if (connections.accept(incoming, outgoing)) {
+                handle(incoming, outgoing);
+                return;
+            }
+            ignored(incoming);
+        },
     );
-    server.on("connection", socket => socket.setNoDelay(true));
+    // `close` calls this method, and that of Node.js would cut off responses that are being sent.
+    server.closeIdleConnections = connections.closeIdle;
+    server.on("connection", socket => {
+        socket.setNoDelay(true);
+        connections.add(socket);
+    });
     return {
         server,
         configure(limits) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -13,7 +13,7 @@
 import { randomBytes } from "node:crypto";
 import { setMaxListeners } from "node:events";
 import { createServer } from "node:http";
-import type { ServerResponse } from "node:http";
+import { createCallerConnections } from "./caller-connections";
 import { createCallerServer } from "./caller-server";
 import { createConfigurationState } from "./configuration-state";
 import { createCopyListener } from "./copy-server";
@@ -23,7 +23,6 @@
 import { createRateLimits } from "./rate-limits";
 import { registerInstance } from "./registration";
 import { createRequestFlow } from "./request-flow";
-import { breakOffResponse } from "./response-relay";
 import { createRouteProfiles } from "./route-profile";
 import { createServiceStates } from "./service-states";
 import type { GatewaySettings, InvalidSettings } from "./settings";
@@ -58,8 +57,7 @@
     const log = createDecisionLog({ instance: settings.instance, level: settings.logLevel });
     let inForce = settings;
     let stopTimes: StopTimes | undefined;
-    /** Responses that have not been sent completely. */
-    const pendingResponses = new Set<ServerResponse>();
+    const connections = createCallerConnections();
 
     const pool = createConnectionPool({
         now,
@@ -93,7 +91,7 @@
         targets: () => directory.size,
         contact_share: () => mesh.contactShare(),
         connections_opened: () => pool.openedCount,
-        requests_running: () => pendingResponses.size,
+        requests_running: () => connections.pendingCount,
         store_answer_age_seconds: () => (now() - streams.lastResponseAt()) / 1_000,
     });
     const configuration = createConfigurationState({
@@ -149,6 +147,7 @@
         },
     });
     const flow = createRequestFlow({
+        connections,
         pool,
         targetTracker,
         directory,
@@ -163,10 +162,12 @@
         metrics,
         stopTimes: () => stopTimes,
     });
-    const callers = createCallerServer((incoming, outgoing) => {
-        pendingResponses.add(outgoing);
-        outgoing.on("close", () => pendingResponses.delete(outgoing));
-        flow(incoming, outgoing);
+    const callers = createCallerServer({
+        connections,
+        handle: flow,
+        ignored(incoming) {
+            log.request(String(incoming.headers[platform.headers.requestId]), "ignored_behind_close", {});
+        },
     });
     const isReady = () => stopTimes === undefined && configuration.current() !== undefined && directory.size > 0;
     const readiness = createServer((incoming, outgoing) => {
@@ -227,22 +228,16 @@
     log.lifecycle("started", { callers: settings.callers });
 
     async function stop(): Promise<void> {
-        log.lifecycle("stopping", { running: pendingResponses.size });
+        log.lifecycle("stopping", { running: connections.pendingCount });
         const times = planStop(now(), inForce.stopSeconds * 1_000);
         stopTimes = times;
-        await stopServing({
-            server: callers.server,
-            clock,
-            log,
-            times,
-            running: () => pendingResponses.size,
-        });
+        await stopServing({ server: callers.server, connections, clock, log, times });
         stopping.abort();
         clearInterval(connectionCheck);
         clearInterval(summaryTimer);
         await Promise.all(tasks);
         await mesh.stop();
-        pendingResponses.forEach(breakOffResponse);
+        connections.breakOff();
         for (const server of [readiness, peerServer, metricsServer, callers.server]) {
             server.close();
             server.closeAllConnections();
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -13,6 +13,7 @@
 import { admitLoad } from "./admission";
 import { startRun } from "./attempt-run";
 import type { AttemptRun, RunParts, RunResult } from "./attempt-run";
+import type { CallerConnections } from "./caller-connections";
 import { readCallerRequest } from "./caller-request";
 import type { CallerRequest } from "./caller-request";
 import type { Metrics, ResponseLabels } from "./metrics";
@@ -31,6 +32,7 @@
 
 /** Dependencies of the request path. */
 export interface FlowParts extends RunParts {
+    connections: Pick<CallerConnections, "hasLaterRequest" | "acceptNoneAfter">;
     directory: TargetDirectory;
     /** Returns the configuration in force; undefined before the first one. */
     configuration(): ConfigurationIndex | undefined;
@@ -38,7 +40,7 @@
     profiles: ReturnType<typeof createRouteProfiles>;
     serviceState(service: string): ServiceState;
     metrics: Metrics;
-    /** Returns the times of a planned stop once it has begun; responses close their connections from then on. */
+    /** Returns the times of a planned stop once it has begun; the last response on a connection closes it from then on. */
     stopTimes(): StopTimes | undefined;
 }
 
@@ -83,7 +85,17 @@
 /** Creates the request listener of the callers' server. */
 export function createRequestFlow(parts: FlowParts): (incoming: IncomingMessage, outgoing: ServerResponse) => void {
     const { headerNames, log, now } = parts;
-    const isStopping = () => parts.stopTimes() !== undefined;
+
+    /** Returns whether the response to a request closes its connection; no further request on it is accepted then. */
+    function closesConnection(incoming: IncomingMessage, mustClose: boolean): boolean {
+        // The responses to requests behind this one have to be sent before.
+        const isLastOfStop = parts.stopTimes() !== undefined && !parts.connections.hasLaterRequest(incoming);
+        const closes = mustClose || isLastOfStop;
+        if (closes) {
+            parts.connections.acceptNoneAfter(incoming);
+        }
+        return closes;
+    }
 
     function admit(incoming: IncomingMessage): Result<AdmittedRequest, Refusal> {
         return safeTry(function*() {
@@ -184,7 +196,7 @@
         log.request(id, "refused", { code: refused.code, status: refused.status, ...refused.inputs });
         parts.metrics.countRefusal(refused.code);
         const unread = !incoming.complete;
-        sendRefusal(outgoing, refused, { headerNames, id, close: isStopping() || refused.status === 413 });
+        sendRefusal(outgoing, refused, { headerNames, id, close: closesConnection(incoming, refused.status === 413) });
         if (unread) {
             incoming.resume();
         }
@@ -291,13 +303,14 @@
         const state = parts.serviceState(admitted.service);
         if (result.kind === "response") {
             state.recordRequest(false);
-            relay(outgoing, admitted, run, result);
+            relay(incoming, outgoing, admitted, run, result);
             return;
         }
         const { response } = result;
         if (response !== undefined && !result.notRun && !impliesNotRun(response.head.status)) {
             state.recordRequest(false);
-            sendResponse(outgoing, { head: response.head, body: response.body }, isStopping());
+            const close = closesConnection(incoming, response.head.isCloseDelimited);
+            sendResponse(outgoing, { head: response.head, body: response.body }, close);
             log.request(admitted.request.id, "target_error_relayed", summary(admitted, run, response.head.status));
             parts.metrics.recordResponse(labels(admitted, "target_error"), ageOf(admitted));
             return;
@@ -356,6 +369,7 @@
     }
 
     function relay(
+        incoming: IncomingMessage,
         outgoing: ServerResponse,
         admitted: AdmittedRequest,
         run: AttemptRun,
@@ -366,9 +380,10 @@
         if (result.head.status < 300) {
             profile.latency.record(ms);
         }
+        const close = closesConnection(incoming, result.head.isCloseDelimited);
         if (result.kind === "complete") {
             profile.recordSize(result.body.length);
-            sendResponse(outgoing, result, isStopping());
+            sendResponse(outgoing, result, close);
             recordSuccess(admitted, run, result.head);
             return;
         }
@@ -382,7 +397,7 @@
             breakOffResponse(outgoing);
         }, Math.max(0, remainingMs) + streamGraceMs);
         outgoing.on("close", () => clearTimeout(timer));
-        streamResponse(outgoing, { attempt, result, close: isStopping() }, {
+        streamResponse(outgoing, { attempt, result, close }, {
             ended: () => recordSuccess(admitted, run, result.head),
             aborted,
         });
--- a/packages/gateway/src/response-relay.ts
+++ b/packages/gateway/src/response-relay.ts
@@ -27,7 +27,7 @@
     else if (length !== undefined) {
         headers.push("Content-Length", String(length));
     }
-    if (head.isCloseDelimited || close) {
+    if (close) {
         headers.push("Connection", "close");
     }
     outgoing.writeHead(head.status, head.reason, headers);
--- a/packages/gateway/src/stop.ts
+++ b/packages/gateway/src/stop.ts
@@ -5,6 +5,7 @@
 import type { Clock } from "@trefoilladder/clock";
 import type { DecisionLog } from "@trefoilladder/telemetry";
 import type { Server } from "node:http";
+import type { CallerConnections } from "./caller-connections";
 
 /** Time until the load balancer removes an unready instance, in milliseconds: two checks a second apart. */
 const balancerRemovalMs = 2_600;
@@ -30,34 +31,21 @@
     return now < closesAt && now + typicalMs < endsAt;
 }
 
-/** Closes the callers' server; resolves when no request is running or `endsAt` has passed. */
+/** Closes the callers' server; resolves when all responses have been sent or `endsAt` has passed. */
 export async function stopServing(parts: {
     server: Server;
+    connections: CallerConnections;
     clock: Clock;
     log: DecisionLog;
     times: StopTimes;
-    /** Number of running requests. */
-    running(): number;
 }): Promise<void> {
-    const { server, clock, log, times } = parts;
+    const { server, connections, clock, log, times } = parts;
     const startedAt = clock.now();
     await clock.sleep(times.closesAt - startedAt);
     server.close();
-    while (clock.now() < times.endsAt) {
-        server.closeIdleConnections();
-        const open = await countConnections(server);
-        if (parts.running() === 0 && open === 0) {
-            break;
-        }
-        if (parts.running() === 0) {
-            // The remaining connections have not received a request.
-            server.closeAllConnections();
-        }
+    while (clock.now() < times.endsAt && connections.openCount > 0) {
+        connections.closeIdle();
         await clock.sleep(pollMs);
     }
-    log.lifecycle("stopped", { ms: Math.round(clock.now() - startedAt), cutOff: parts.running() });
-}
-
-function countConnections(server: Server): Promise<number> {
-    return new Promise(resolve => server.getConnections((error, count) => resolve(error === null ? count : 0)));
+    log.lifecycle("stopped", { ms: Math.round(clock.now() - startedAt), cutOff: connections.pendingCount });
 }
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -1,4 +1,5 @@
 import { stream } from "@trefoilladder/replication";
+import { once } from "node:events";
 import { connect } from "node:net";
 import type { Socket } from "node:net";
 import { setTimeout as delay } from "node:timers/promises";
@@ -32,6 +33,12 @@
 
 const nonIdempotent = { path: "/filing/1", method: "POST", body: "endorsement" };
 
+/** Returns the head of an idempotent request that a caller may send before it has received earlier responses. */
+function pipelinedHead(id: string): string {
+    return `GET /lookup/1 HTTP/1.1\r\nHost: laurel.example\r\nRequest-Id: ${id}\r\nDeadline-Ms: 8000\r\n`
+        + "Authorization: Bearer key-1\r\n\r\n";
+}
+
 function callFirst(options: Parameters<typeof call>[1] = {}): Promise<CallerResult> {
     return call(fleet.callers[0]!, options);
 }
@@ -529,6 +536,71 @@
         expect(arrivals()).toBe(before);
     });
 
+    // Guards against requests that their targets run and that get no answer, because an earlier response closes the connection.
+    test("that stops answers all requests that were pipelined on a connection, and closes it after the last", async () => {
+        const slow: Responder = (socket, _, id) => void setTimeout(() => socket.write(responseText(id, id)), 500);
+        await start(Array.from({ length: 6 }, () => slow), { stopSeconds: 3 });
+        const socket = connect(fleet.callers[0]!);
+        const received: string[] = [];
+        socket.on("data", chunk => received.push(chunk.toString()));
+        const closed = once(socket, "close");
+        const ids = ["p1", "p2", "p3", "p4"];
+        socket.write(ids.map(id => pipelinedHead(id)).join(""));
+        await waitUntil(() => arrivals() === ids.length);
+        const stopped = fleet.gateways[0]!.stop();
+        await closed;
+        const answers = [...received.join("").matchAll(/Connection: (\S+)[^]*?\r\n\r\n(p\d)/g)];
+        expect(answers.map(([, connection, id]) => [id, connection])).toEqual([
+            ["p1", "keep-alive"],
+            ["p2", "keep-alive"],
+            ["p3", "keep-alive"],
+            ["p4", "close"],
+        ]);
+        await stopped;
+    });
+
+    // Guards against a request that a target runs although the response before it has announced the close of its connection.
+    test("that stops sends no request to a target that follows the last response on its connection", async () => {
+        const slowFirst: Responder = (socket, request, id) =>
+            void setTimeout(() => socket.write(responseText(id, id)), request === 1 ? 800 : 0);
+        await start([slowFirst, slowFirst], { stopSeconds: 3 });
+        const socket = connect(fleet.callers[0]!);
+        socket.on("data", () => undefined);
+        const closed = once(socket, "close");
+        socket.write(pipelinedHead("p1"));
+        await waitUntil(() => arrivals() === 1);
+        const stopped = fleet.gateways[0]!.stop();
+        socket.write(pipelinedHead("p2"));
+        await delay(200);
+        socket.write(pipelinedHead("p3"));
+        await closed;
+        await stopped;
+        const sent = fleet.targets.flatMap(({ requests }) => requests).join("");
+        expect(sent).toMatch(/request-id: p2/i);
+        expect(sent).not.toMatch(/request-id: p3/i);
+    });
+
+    // Guards against responses that a caller still receives and that are cut off when the instance closes idle connections.
+    test("that stops sends the responses to a slow caller completely", async () => {
+        const bodyBytes = 190_000;
+        const count = 60;
+        const large: Responder = (socket, _, id) => void socket.write(responseText(id, "y".repeat(bodyBytes)));
+        await start(Array.from({ length: 6 }, () => large), { stopSeconds: 4 });
+        const socket = connect(fleet.callers[0]!);
+        let receivedBytes = 0;
+        socket.on("data", chunk => receivedBytes += chunk.length);
+        const closed = once(socket, "close");
+        socket.write(Array.from({ length: count }, (_, index) => pipelinedHead(`p${index}`)).join(""));
+        socket.pause();
+        await delay(1_000);
+        const stopped = fleet.gateways[0]!.stop();
+        await delay(2_500);
+        socket.resume();
+        await closed;
+        await stopped;
+        expect(receivedBytes).toBeGreaterThan(count * bodyBytes);
+    });
+
     test("that stops finishes its requests and reports unready at once", async () => {
         await start([(socket, _, id) => void setTimeout(() => socket.write(responseText(id)), 600)], {
             stopSeconds: 3,
