Keep the body of a response, not the blocks it was read from, and bound its framing

Operators of similar systems saw: a faulty target that sent endless bytes, a process that kept them and ran out of memory, and the requests of its other clients that ended with it (LOST).

Cause: parts of a body are views of the blocks that were read. Up to 192 KB of body were kept as such views, so a byte of body in a long chunk extension kept 16 KB, and chunks of a byte took one object each.

Change: the parts are copied into one block, and a response that consists of little but framing is invalid.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -8,6 +8,7 @@
 import type { DecisionLog } from "@trefoilladder/telemetry";
 import { exchangeFailureCode } from "@trefoilladder/upstream";
 import type { ConnectionPool, Exchange, OutgoingRequest, ResponseHead } from "@trefoilladder/upstream";
+import { createBodyBuffer } from "./body-buffer";
 import { createBodyStream } from "./body-stream";
 import type { BodySink, BodyStream } from "./body-stream";
 import type { HeaderNames } from "./header-names";
@@ -87,8 +88,7 @@
     let head: ResponseHead | undefined;
     let kind: ResponseKind | undefined;
     let load: LoadReport | undefined;
-    let chunks: Buffer[] = [];
-    let size = 0;
+    let body = createBodyBuffer();
     let stream: BodyStream | undefined;
     let settled = false;
 
@@ -128,10 +128,11 @@
         return isRequestFailure ? outcome.requestFailure : failedKinds[failedKind].outcome;
     }
 
-    function complete(response: ResponseHead, body: Buffer): void {
+    function complete(response: ResponseHead): void {
+        const received = body.bytes();
         if (kind === responseKind.usable) {
             settle(outcome.success);
-            options.done({ kind: "complete", head: response, body });
+            options.done({ kind: "complete", head: response, body: received });
             return;
         }
         const kindResult = failedKinds[kind!];
@@ -143,21 +144,21 @@
             kind: "ended",
             end: kindResult.end,
             why: `status_${response.status}`,
-            response: kindResult.end === attemptEnd.failed ? { head: response, body } : undefined,
+            response: kindResult.end === attemptEnd.failed ? { head: response, body: received } : undefined,
         });
     }
 
     function beginStreaming(response: ResponseHead): void {
-        const started = createBodyStream(chunks);
+        const started = createBodyStream([body.bytes()]);
         stream = started;
-        chunks = [];
+        body = createBodyBuffer();
         options.done({ kind: "streaming", head: response, attach: started.attach });
     }
 
     /** Ends an attempt whose response is not relayed and exceeds the buffer; its head is not trusted. */
     function abort(): void {
         settle(outcome.failure);
-        chunks = [];
+        body = createBodyBuffer();
         exchange.cancel();
         options.done({ kind: "ended", end: attemptEnd.unknown, why: "answer_too_long" });
     }
@@ -183,13 +184,12 @@
             }
         },
         data(chunk) {
-            size += chunk.length;
             if (stream !== undefined) {
                 stream.data(chunk);
                 return;
             }
-            chunks.push(chunk);
-            if (size <= options.maxBufferedBytes || settled || head === undefined) {
+            body.add(chunk);
+            if (body.size <= options.maxBufferedBytes || settled || head === undefined) {
                 return;
             }
             if (kind === responseKind.usable) {
@@ -207,7 +207,7 @@
                 stream.end();
                 return;
             }
-            complete(head, Buffer.concat(chunks));
+            complete(head);
         },
         fail(failure) {
             if (settled) {
--- a/packages/upstream/src/target-connection.ts
+++ b/packages/upstream/src/target-connection.ts
@@ -111,6 +111,10 @@
 const maxBytesBeforeResponse = 2 * 1024 * 1024;
 const maxHeadsBeforeResponse = 16;
 
+/** Maximum bytes of a response beside its body: a fixed part for head and trailers, and a share for the framing of small chunks. */
+const maxFramingBytes = 1024 * 1024;
+const maxFramingBytesPerBodyByte = 16;
+
 /** Returns the value of a header by its lower-case name; undefined when absent. */
 export function headerValue(head: ResponseHead, name: string): string | undefined {
     for (let index = 0; index < head.headers.length; index += 2) {
@@ -149,6 +153,9 @@
     let secondResponseCheck: SecondResponseCheck | undefined;
     let bytesBeforeResponse = 0;
     let headsBeforeResponse = 0;
+    /** Bytes received and bytes of the body since the response began. */
+    let responseBytes = 0;
+    let bodyBytes = 0;
 
     const connectTimer = setTimeout(
         () => fail("unreachable", "connecting to the target timed out"),
@@ -217,6 +224,8 @@
                 return false;
             }
             hasResponse = true;
+            responseBytes = 0;
+            bodyBytes = 0;
             idleLimitMs = idleLimitOf(head);
             secondResponseCheck = head.isCloseDelimited
                 ? createSecondResponseCheck(options.requestIdHeader)
@@ -232,6 +241,7 @@
                 fail("garbled", "another response follows in a body without a length");
                 return;
             }
+            bodyBytes += chunk.length;
             current?.listener.data(chunk);
         },
         end(hasTrailingBytes) {
@@ -262,10 +272,15 @@
         });
     }
 
-    /** Returns an error when more precedes the response than a late response to an earlier request accounts for. */
-    function checkPrecedingBytes(chunk: Buffer): Error | undefined {
+    /**
+     * Returns an error when more precedes the response than a late response to an earlier request accounts for, or when the
+     * response consists of little but framing.
+     */
+    function checkReceivedBytes(chunk: Buffer): Error | undefined {
         if (hasResponse) {
-            return undefined;
+            responseBytes += chunk.length;
+            const exceedsLimit = responseBytes - bodyBytes > maxFramingBytes + maxFramingBytesPerBodyByte * bodyBytes;
+            return exceedsLimit ? new Error("the framing of the response exceeds its limit") : undefined;
         }
         bytesBeforeResponse += chunk.length;
         const exceedsLimit = bytesBeforeResponse > maxBytesBeforeResponse
@@ -305,7 +320,7 @@
             fail("unreachable", "the target sent data before a request");
             return;
         }
-        const error = parser.execute(chunk) ?? checkPrecedingBytes(chunk);
+        const error = parser.execute(chunk) ?? checkReceivedBytes(chunk);
         if (error !== undefined && !closed) {
             fail("garbled", "the target sent an invalid response", error);
         }
--- a/test/gateway/body-stream.test.ts
+++ b/test/gateway/body-stream.test.ts
@@ -1,3 +1,4 @@
+import { createBodyBuffer } from "../../packages/gateway/src/body-buffer";
 import { createBodyStream } from "../../packages/gateway/src/body-stream";
 
 function recordingSink() {
@@ -32,3 +33,22 @@
         expect(seen).toEqual(["a", "b", "fail"]);
     });
 });
+
+describe("a body buffer", () => {
+    test("holds what was added, in order", () => {
+        const body = createBodyBuffer();
+        const parts = Array.from({ length: 500 }, (_, index) => Buffer.from(`${index},`));
+        parts.forEach(body.add);
+        expect(body.size).toBe(Buffer.concat(parts).length);
+        expect(body.bytes().equals(Buffer.concat(parts))).toBe(true);
+    });
+
+    // Guards against a stream whose first part changes when the buffer is used again.
+    test("leaves returned bytes as they are when more is added", () => {
+        const body = createBodyBuffer();
+        body.add(Buffer.from("first"));
+        const bytes = body.bytes();
+        body.add(Buffer.from("second"));
+        expect(bytes.toString()).toBe("first");
+    });
+});
--- a/test/soak/soak-fleet.ts
+++ b/test/soak/soak-fleet.ts
@@ -23,6 +23,8 @@
     targets: number;
     /** Number of failure domains of the gateways. */
     domains: number;
+    /** Arguments of Node.js for the gateways. */
+    nodeArguments?: readonly string[];
 }
 
 /** Real gateway processes; the store and the targets are stand-ins. */
@@ -34,7 +36,7 @@
     /** Publishes a configuration with these keys and a number of additional routes that no caller uses. */
     publish(keys: readonly string[], extraRoutes?: number): void;
     /** Registers a target with its start time in milliseconds. */
-    register(target: SoakTarget, startedAt: number): void;
+    register(target: Pick<SoakTarget, "id" | "port">, startedAt: number): void;
     /**
      * Waits until a process that was signalled to stop exits, and restarts its gateway. Returns false when the process did
      * not exit in time and had to be killed.
@@ -122,7 +124,7 @@
         };
         const path = join(directory, `${host}.yaml`);
         writeFileSync(path, JSON.stringify(settings));
-        return spawn(process.execPath, ["dist/trefoilladder-gateway.js"], {
+        return spawn(process.execPath, [...sizes.nodeArguments ?? [], "dist/trefoilladder-gateway.js"], {
             env: { TREFOILLADDER_NODE_FILE: path },
             stdio: [
                 "ignore",
@@ -132,7 +134,7 @@
         });
     }
 
-    function register({ id, port }: SoakTarget, startedAt: number): void {
+    function register({ id, port }: Pick<SoakTarget, "id" | "port">, startedAt: number): void {
         appendRecord("keyed.servers", id, {
             Service: "soak",
             Address: `127.0.0.1:${port}`,
--- a/test/upstream/connection-pool.test.ts
+++ b/test/upstream/connection-pool.test.ts
@@ -151,6 +151,11 @@
         ],
         ["a chunk size", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;x=", "x"],
         ["a line after a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx", "x"],
+        [
+            "extensions of chunks",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+            `1;${"x".repeat(9_000)}\r\nx\r\n`,
+        ],
         ["trailers", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X: y\r\n"],
     ])("fail on %s without end", async (_, prefix, repeated) => {
         let written = 0;
