Give the test of a request behind the last response one target

Cause: the test has two targets that respond slowly to their first request each. When the second request went to the other one, its response was not decided 200 ms later, so the third request was rightly accepted.

Change: one target, so the second request is always answered at once; the checks are the same, and the arrival of the second request is awaited in addition.

--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -563,7 +563,8 @@
     test("that stops sends no request to a target that follows the last response on its connection", async () => {
         const slowFirst: Responder = (socket, request, id) =>
             void setTimeout(() => socket.write(responseText(id, id)), request === 1 ? 800 : 0);
-        await start([slowFirst, slowFirst], { stopSeconds: 3 });
+        // A second target would also respond slowly to its first request, which may be p2.
+        await start([slowFirst], { stopSeconds: 3 });
         const socket = connect(fleet.callers[0]!);
         socket.on("data", () => undefined);
         const closed = once(socket, "close");
@@ -571,6 +572,7 @@
         await waitUntil(() => arrivals() === 1);
         const stopped = fleet.gateways[0]!.stop();
         socket.write(pipelinedHead("p2"));
+        await waitUntil(() => arrivals() === 2);
         await delay(200);
         socket.write(pipelinedHead("p3"));
         await closed;
