Log and count what an organisation's limit is based on

Adds limit_state each second for limits that rejected requests or are low, limit_added, peer_total_fell, the state in over_limit refusals, and gauges of each limit. No decision has changed.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -17,6 +17,7 @@
 import { createCallerServer } from "./caller-server";
 import { createConfigurationState } from "./configuration-state";
 import { createCopyListener } from "./copy-server";
+import { createLimitSummary, limitSummaryIntervalMs } from "./limit-summary";
 import { listen } from "./listen";
 import { createMetrics } from "./metrics";
 import type { PlatformPort } from "./platform-port";
@@ -45,6 +46,8 @@
 const connectionCheckIntervalMs = 2_000;
 /** Minimum change of a total of retries that is reported to other instances; each request adds a fraction of a retry. */
 const minRetryTotalChange = 0.5;
+/** Tokens by which another instance's total falls before a line is written; requests that have not run put single ones back. */
+const minLoggedFall = 3;
 
 /** Starts a gateway process; the promise rejects when a listener cannot be opened. */
 export async function startGateway(settings: GatewaySettings, platform: PlatformPort): Promise<Gateway> {
@@ -82,11 +85,20 @@
         log,
         onUrgentChange: () => mesh.requestDigest(),
     });
-    const limitGroup = createLimitGroup({ now, minChange: 1 });
+    const limitGroup = createLimitGroup({
+        now,
+        minChange: 1,
+        totalFell(organisation, sender, tokens) {
+            log.count("peer_totals_fell");
+            if (tokens >= minLoggedFall) {
+                log.stateChange("peer_total_fell", { organisation, sender, tokens });
+            }
+        },
+    });
     const retryBuckets = createLimitGroup({ now, minChange: minRetryTotalChange });
-    const rateLimits = createRateLimits(limitGroup, now);
+    const rateLimits = createRateLimits(limitGroup, now, log);
     const profiles = createRouteProfiles();
-    const metrics = createMetrics(log, {
+    const metrics = createMetrics(log, limitGroup, now, {
         configuration_version: () => configuration.version(),
         targets: () => directory.size,
         contact_share: () => mesh.contactShare(),
@@ -211,6 +223,10 @@
         services: () => configuration.current()?.configuration.services.map(({ name }) => name) ?? [],
     });
     const summaryTimer = setInterval(summarizeState, stateSummaryIntervalMs);
+    const limitSummaryTimer = setInterval(
+        createLimitSummary({ log, limits: limitGroup, now }),
+        limitSummaryIntervalMs,
+    );
     const tasks = [
         streams.run(stopping.signal),
         registerInstance({
@@ -235,6 +251,7 @@
         stopping.abort();
         clearInterval(connectionCheck);
         clearInterval(summaryTimer);
+        clearInterval(limitSummaryTimer);
         await Promise.all(tasks);
         await mesh.stop();
         connections.breakOff();
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -1,3 +1,4 @@
+import type { LimitGroup, LimitState } from "@trefoilladder/limits";
 import type { Route } from "@trefoilladder/serving";
 import type { DecisionLog } from "@trefoilladder/telemetry";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
@@ -21,8 +22,22 @@
 const maxOrganisations = 200;
 const latencyBucketsSeconds = [0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2, 4, 8, 16];
 
-/** Creates the metrics of a process; `gauges` are read whenever the metrics are rendered. */
-export function createMetrics(log: DecisionLog, gauges: Record<string, () => number>): Metrics {
+/** Gauges of each organisation's limit. */
+const limitGauges: Record<string, (state: LimitState) => number> = {
+    limit_level: ({ level }) => level,
+    limit_admitted: ({ admitted }) => admitted,
+    limit_rejected: ({ rejected }) => rejected,
+    limit_reporters: ({ reporters }) => reporters,
+    limit_news_age_seconds: ({ oldestAgeMs }) => oldestAgeMs / 1_000,
+};
+
+/** Creates the metrics of a process; `gauges` and `limits` are read whenever the metrics are rendered. */
+export function createMetrics(
+    log: DecisionLog,
+    limits: Pick<LimitGroup, "all">,
+    now: () => number,
+    gauges: Record<string, () => number>,
+): Metrics {
     const registry = new Registry();
     const registers = [registry];
     const organisations = new Set<string>();
@@ -65,6 +80,24 @@
         });
     }
 
+    for (const [name, read] of Object.entries(limitGauges)) {
+        new Gauge({
+            name: `trefoilladder_${name}`,
+            help: `${name.replaceAll("_", " ")} by organisation`,
+            labelNames: ["organisation"],
+            registers,
+            collect() {
+                this.reset();
+                for (const [organisation, limit] of limits.all()) {
+                    const label = organisationLabel(organisation);
+                    if (label === organisation) {
+                        this.set({ organisation }, read(limit.state(now())));
+                    }
+                }
+            },
+        });
+    }
+
     /** Returns the label of an organisation; the number of labels is bounded. */
     function organisationLabel(organisation: string): string {
         if (organisations.size < maxOrganisations) {
--- a/packages/gateway/src/rate-limits.ts
+++ b/packages/gateway/src/rate-limits.ts
@@ -3,8 +3,9 @@
  */
 
 import { createSharedLimit } from "@trefoilladder/limits";
-import type { LimitGroup, SharedLimit } from "@trefoilladder/limits";
+import type { LimitGroup, LimitState, SharedLimit } from "@trefoilladder/limits";
 import type { Organisation } from "@trefoilladder/serving";
+import type { DecisionLog } from "@trefoilladder/telemetry";
 
 /** The rate limits in force. */
 export interface RateLimits {
@@ -14,24 +15,40 @@
     configure(organisations: Iterable<Organisation>): void;
 }
 
+/** Returns the fields of a log line about a limit, rounded. */
+export function limitFields(state: LimitState): Record<string, number> {
+    return {
+        level: Math.round(state.level * 10) / 10,
+        burst: state.burst,
+        share: Math.round(state.contactShare * 1_000) / 1_000,
+        admitted: Math.round(state.admitted),
+        rejected: state.rejected,
+        reporters: state.reporters,
+        newsAgeMs: Math.round(state.oldestAgeMs),
+    };
+}
+
 /** Creates the rate limits of organisations; they are stored in `group`. */
-export function createRateLimits(group: LimitGroup, now: () => number): RateLimits {
+export function createRateLimits(
+    group: LimitGroup,
+    now: () => number,
+    log: Pick<DecisionLog, "stateChange">,
+): RateLimits {
     function put({ name, ratePerSecond, burst }: Organisation): void {
         const limit = group.get(name);
         if (limit !== undefined) {
             limit.resize(ratePerSecond, burst, now());
             return;
         }
-        group.add(
-            name,
-            createSharedLimit({
-                ratePerSecond,
-                burst,
-                now: now(),
-                contactShare: 1,
-                lastContactAt: group.lastContactAt,
-            }),
-        );
+        const added = createSharedLimit({
+            ratePerSecond,
+            burst,
+            now: now(),
+            contactShare: 1,
+            lastContactAt: group.lastContactAt,
+        });
+        group.add(name, added);
+        log.stateChange("limit_added", { organisation: name, ratePerSecond, ...limitFields(added.state(now())) });
     }
 
     return {
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -17,6 +17,7 @@
 import { readCallerRequest } from "./caller-request";
 import type { CallerRequest } from "./caller-request";
 import type { Metrics, ResponseLabels } from "./metrics";
+import { limitFields } from "./rate-limits";
 import type { RateLimits } from "./rate-limits";
 import { refusal } from "./refusal";
 import type { Refusal } from "./refusal";
@@ -179,9 +180,17 @@
             ? undefined
             : parts.rateLimits.limitOf(organisation);
         const waitMs = limit?.take(now()) ?? 0;
-        return waitMs <= 0 ? ok(undefined) : err(refusal("over_limit", 429, {
+        if (limit === undefined || waitMs <= 0) {
+            return ok(undefined);
+        }
+        return err(refusal("over_limit", 429, {
             retryAfterSeconds: Math.min(5, waitMs / 1_000 * (1 + parts.random())),
-            inputs: { organisation: organisation?.name, waitMs: Math.round(waitMs), version },
+            inputs: {
+                organisation: organisation?.name,
+                waitMs: Math.round(waitMs),
+                version,
+                ...limitFields(limit.state(now())),
+            },
         }));
     }
 
--- a/packages/limits/src/index.ts
+++ b/packages/limits/src/index.ts
@@ -1,4 +1,4 @@
 export { createLimitGroup } from "./limit-group";
 export type { LimitGroup, NamedTotal } from "./limit-group";
 export { createSharedLimit } from "./shared-limit";
-export type { SharedLimit, SharedLimitOptions } from "./shared-limit";
+export type { LimitState, SharedLimit, SharedLimitOptions } from "./shared-limit";
--- a/packages/limits/src/limit-group.ts
+++ b/packages/limits/src/limit-group.ts
@@ -10,6 +10,8 @@
 /** Shared limits by name. */
 export interface LimitGroup {
     get(name: string): SharedLimit | undefined;
+    /** Returns the names and limits. */
+    all(): IterableIterator<[name: string, limit: SharedLimit]>;
     /** Adds a limit and sets its contact share to the current one. */
     add(name: string, limit: SharedLimit): void;
     /** Removes the limits whose names are not among these. */
@@ -40,8 +42,17 @@
 /** Number of further digests that repeat a changed total, since datagrams may be lost. */
 const resends = 1;
 
-/** Creates an empty group. Totals that changed by less than `minChange` since they were last sent count as unchanged. */
-export function createLimitGroup(options: { now(): number; minChange: number; }): LimitGroup {
+/** Options of a group. */
+export interface LimitGroupOptions {
+    now(): number;
+    /** Totals that changed by less than this since they were last sent count as unchanged. */
+    minChange: number;
+    /** Called when a reported total is lower than the previous one by `tokens`. */
+    totalFell?(name: string, sender: string, tokens: number): void;
+}
+
+/** Creates an empty group. */
+export function createLimitGroup(options: LimitGroupOptions): LimitGroup {
     const { now, minChange } = options;
     const entries = new Map<string, Entry>();
     /** Monotonic times in milliseconds by instance, the most recent contact last. */
@@ -88,6 +99,11 @@
             detectPause();
             return entries.get(name)?.limit;
         },
+        *all() {
+            for (const [name, { limit }] of entries) {
+                yield [name, limit];
+            }
+        },
         add(name, limit) {
             limit.setContactShare(contactShare, now());
             entries.set(name, { limit, sentTotal: 0, sentIncrement: 0, resendsLeft: 0 });
@@ -110,7 +126,10 @@
             detectPause();
             recordContact(sender);
             for (const [name, total, increment] of totals) {
-                entries.get(name)?.limit.applyPeerTotal(sender, total, now(), increment);
+                const fallenBy = entries.get(name)?.limit.applyPeerTotal(sender, total, now(), increment) ?? 0;
+                if (fallenBy > 0) {
+                    options.totalFell?.(name, sender, fallenBy);
+                }
             }
         },
         collectChangedTotals() {
--- a/packages/limits/src/peer-totals.ts
+++ b/packages/limits/src/peer-totals.ts
@@ -9,11 +9,19 @@
 export interface PeerTotals {
     /**
      * Records a reported total with its increment since the previous report. Returns the difference from the amounts returned
-     * before, negative when too much was assumed.
+     * before, negative when too much was assumed, and by how much the total has fallen.
      */
-    report(peer: string, total: number, now: number, increment: number): number;
+    report(peer: string, total: number, now: number, increment: number): { unaccounted: number; fallenBy: number; };
     /** Returns the change of the assumed admissions since the previous call. */
     assume(now: number): number;
+    /** Returns how many instances in contact have reported, and the age of the oldest of their reports in milliseconds. */
+    news(now: number): PeerNews;
+}
+
+/** Reports that a limit is based on. */
+export interface PeerNews {
+    reporters: number;
+    oldestAgeMs: number;
 }
 
 interface Peer {
@@ -45,7 +53,7 @@
             if (peer === undefined) {
                 // Earlier admissions were counted by the instances that received them, or have been refilled since.
                 peers.set(name, { total, reportedAt: now, rate: 0, assumed: 0 });
-                return Math.max(0, increment);
+                return { unaccounted: Math.max(0, increment), fallenBy: 0 };
             }
             const delta = total - peer.total;
             // Reports may arrive together or out of order, so the time between two arrivals does not give the rate.
@@ -57,7 +65,7 @@
             peer.total = total;
             peer.reportedAt = now;
             peer.assumed = 0;
-            return unaccounted;
+            return { unaccounted, fallenBy: Math.max(0, -delta) };
         },
         assume(now) {
             let change = 0;
@@ -73,11 +81,20 @@
             }
             return change;
         },
+        news(now) {
+            const ages = [...peers].map(([name, peer]) => now - lastKnownAt(name, peer, now))
+                .filter(ageMs => ageMs < maxAssumedMs);
+            return { reporters: ages.length, oldestAgeMs: Math.max(0, ...ages) };
+        },
     };
 
+    function lastKnownAt(name: string, peer: Peer, now: number): number {
+        return Math.min(now, Math.max(peer.reportedAt, lastContactAt(name)));
+    }
+
     function assumedOf(name: string, peer: Peer, now: number): number {
-        const lastKnownAt = Math.min(now, Math.max(peer.reportedAt, lastContactAt(name)));
-        const rate = peer.rate * Math.exp(-(lastKnownAt - peer.reportedAt) / rateWindowMs);
-        return rate * Math.min(maxAssumedMs, now - lastKnownAt);
+        const knownAt = lastKnownAt(name, peer, now);
+        const rate = peer.rate * Math.exp(-(knownAt - peer.reportedAt) / rateWindowMs);
+        return rate * Math.min(maxAssumedMs, now - knownAt);
     }
 }
--- a/packages/limits/src/shared-limit.ts
+++ b/packages/limits/src/shared-limit.ts
@@ -11,6 +11,19 @@
  */
 
 import { createPeerTotals } from "./peer-totals";
+import type { PeerNews } from "./peer-totals";
+
+/** What this instance knows of a limit, for logs and metrics. */
+export interface LimitState extends PeerNews {
+    /** Number of tokens left in this instance's copy of the bucket. */
+    level: number;
+    burst: number;
+    contactShare: number;
+    /** Running total of the tokens that this instance has taken, less those that it has put back. */
+    admitted: number;
+    /** Number of requests that this instance has rejected. */
+    rejected: number;
+}
 
 /** Limit of one organisation. */
 export interface SharedLimit {
@@ -22,9 +35,10 @@
     level(now: number): number;
     /**
      * Takes the tokens that another instance has admitted since its previous total. When no previous total of that
-     * instance is known, takes `increment`, the tokens admitted since the total that it sent before.
+     * instance is known, takes `increment`, the tokens admitted since the total that it sent before. Returns the number of
+     * tokens by which the total has fallen, 0 when it has not.
      */
-    applyPeerTotal(peer: string, total: number, now: number, increment?: number): void;
+    applyPeerTotal(peer: string, total: number, now: number, increment?: number): number;
     /** Sets the rate and burst of a new configuration. */
     resize(ratePerSecond: number, burst: number, now: number): void;
     /** Sets the share of known instances that are in contact, greater than 0 and at most 1. */
@@ -36,6 +50,7 @@
     recordPause(pausedMs: number, now: number): void;
     /** Running total of the tokens that this instance has taken, less those that it has put back. */
     readonly admitted: number;
+    state(now: number): LimitState;
 }
 
 /** Time in milliseconds after a pause within which all instances in contact have reported their totals. */
@@ -63,6 +78,7 @@
     let level = burst * initialBurstShare;
     let updatedAt = limit.now;
     let admitted = 0;
+    let rejected = 0;
     /** Tokens refilled during a pause that may have been admitted by other instances, and when all of these have reported. */
     let withheld = 0;
     let withheldUntil = -Infinity;
@@ -95,6 +111,7 @@
         take(now) {
             const available = currentLevel(now);
             if (available < 1) {
+                rejected += 1;
                 return (1 - available) * 1_000 / (ratePerSecond * contactShare);
             }
             level -= 1;
@@ -108,7 +125,9 @@
         },
         applyPeerTotal(peer, total, now, increment = 0) {
             refill(now);
-            takeAdmitted(peers.report(peer, total, now, increment));
+            const { unaccounted, fallenBy } = peers.report(peer, total, now, increment);
+            takeAdmitted(unaccounted);
+            return fallenBy;
         },
         resize(newRate, newBurst, now) {
             refill(now);
@@ -134,5 +153,6 @@
         get admitted() {
             return admitted;
         },
+        state: now => ({ level: currentLevel(now), burst, contactShare, admitted, rejected, ...peers.news(now) }),
     };
 }
--- /dev/null
+++ b/test/limits/fleet-simulation.ts
@@ -0,0 +1,289 @@
+/**
+ * Simulates the limits of one organisation on a fleet whose instances find each other, exchange digests and restart.
+ */
+
+import { createLimitGroup } from "@trefoilladder/limits";
+import { createRateLimits } from "../../packages/gateway/src/rate-limits";
+import type { RateLimits } from "../../packages/gateway/src/rate-limits";
+import { createPeers } from "../../packages/mesh/src/peers";
+import type { Peers } from "../../packages/mesh/src/peers";
+import { createRandomSource } from "../../packages/routing/src/random-source";
+
+/** Plan of the organisation. */
+export interface Plan {
+    ratePerSecond: number;
+    burst: number;
+}
+
+/** What happens to the instances of the given indices at a moment of the simulation. */
+export interface FleetEvent {
+    atMs: number;
+    instances: readonly number[];
+    /** Time for which the instances are away before they start without any knowledge, or stand still. */
+    kind: "restart" | "pause" | "withdraw" | "grant";
+    forMs?: number;
+}
+
+/** A fleet and the organisation's demand. */
+export interface FleetScenario {
+    seed: number;
+    instances: number;
+    plan: Plan;
+    /** Requests per second of the organisation over all instances. */
+    demandPerSecond(nowMs: number): number;
+    /** Whether some instances receive many times as many requests as others. */
+    isUneven?: boolean;
+    /** Whether all instances receive their requests at the same moments. */
+    isInStep?: boolean;
+    /** Share of the digests that are lost, for each receiver. */
+    lossShare?: number;
+    events?: readonly FleetEvent[];
+    durationMs?: number;
+}
+
+/** Times in milliseconds of the requests of the organisation. */
+export interface FleetRun {
+    admitted: number[];
+    /** Requests at instances that had nothing else to reject them for. */
+    rejected: number[];
+}
+
+interface Process {
+    limits: RateLimits;
+    group: ReturnType<typeof createLimitGroup>;
+    peers: Peers;
+    incarnation: number;
+    startedAt: number;
+    digestSentAt: number;
+}
+
+interface Instance {
+    index: number;
+    address: string;
+    weight: number;
+    process: Process | undefined;
+    startsAt: number;
+    pausedUntil: number;
+    /** Requests and digests that arrived during a pause. */
+    queuedRequests: number;
+    queuedDigests: (() => void)[];
+}
+
+interface Delivery {
+    at: number;
+    apply(): void;
+}
+
+const stepMs = 10;
+const tickMs = 200;
+const heartbeatMs = 600;
+const maxPeersAtBaseInterval = 44;
+const directDelayMs = 2;
+const minRelayDelayMs = 20;
+const maxRelayDelayMs = 130;
+const seedCount = 3;
+const addressesPerDigest = 2;
+const defaultDurationMs = 20_000;
+/** Time before the first request, in which the instances find each other. */
+export const warmUpMs = 5_000;
+const organisationName = "taipei";
+
+/** Runs a scenario; the same seed gives the same run. */
+export function simulateFleet(scenario: FleetScenario): FleetRun {
+    const random = createRandomSource(scenario.seed);
+    const { plan, lossShare = 0 } = scenario;
+    const organisation = { name: organisationName, keys: [], priority: undefined, ...plan };
+    let now = 0;
+    const run: FleetRun = { admitted: [], rejected: [] };
+    const deliveries = new Map<number, Delivery[]>();
+    const instances = Array.from({ length: scenario.instances }, (_, index): Instance => ({
+        index,
+        address: `i${index}`,
+        weight: scenario.isUneven === true ? Math.exp(2 * random.next()) ** 2 : 1,
+        process: undefined,
+        startsAt: Math.floor(random.next() * 300 / stepMs) * stepMs,
+        pausedUntil: 0,
+        queuedRequests: 0,
+        queuedDigests: [],
+    }));
+    const byAddress = new Map(instances.map(instance => [instance.address, instance]));
+    const totalWeight = instances.reduce((sum, { weight }) => sum + weight, 0);
+    let incarnations = 0;
+
+    function start(instance: Instance): void {
+        const group = createLimitGroup({ now: () => now, minChange: 1 });
+        const limits = createRateLimits(group, () => now, { stateChange: () => undefined });
+        const peers = createPeers(instance.address);
+        instances.slice(0, seedCount).forEach(({ address }) => peers.discover(address, now));
+        limits.configure([organisation]);
+        instance.process = {
+            limits,
+            group,
+            peers,
+            incarnation: incarnations += 1,
+            startedAt: now,
+            digestSentAt: -Infinity,
+        };
+    }
+
+    function deliver(to: Instance, delayMs: number, apply: (process: Process) => void): void {
+        if (random.next() < lossShare) {
+            return;
+        }
+        const at = now + Math.max(stepMs, Math.round(delayMs / stepMs) * stepMs);
+        const list = deliveries.get(at) ?? [];
+        deliveries.set(at, list);
+        const receive = () => {
+            if (to.process !== undefined) {
+                apply(to.process);
+            }
+        };
+        list.push({
+            at,
+            apply() {
+                if (now < to.pausedUntil) {
+                    to.queuedDigests.push(receive);
+                    return;
+                }
+                receive();
+            },
+        });
+    }
+
+    function sendDigest(
+        from: Instance,
+        process: Process,
+        to: readonly Instance[],
+        delayMs: number,
+        isProbe: boolean,
+    ): void {
+        const totals = isProbe ? [] : process.group.collectChangedTotals();
+        const inContact = process.peers.inContact(now);
+        const addresses = Array.from(
+            { length: inContact.length === 0 ? 0 : addressesPerDigest },
+            () => inContact[Math.floor(random.next() * inContact.length)]!.address,
+        );
+        const sender = `${from.address}/${process.incarnation}`;
+        to.forEach(other =>
+            deliver(other, delayMs, receiver => {
+                receiver.peers.recordDigest(from.address, String(process.incarnation), now);
+                addresses.forEach(address => receiver.peers.discover(address, now));
+                receiver.group.applyPeerTotals(sender, totals);
+                if (isProbe) {
+                    respond(other, receiver, from);
+                }
+            })
+        );
+    }
+
+    function respond(from: Instance, process: Process, to: Instance): void {
+        const addresses = process.peers.addresses();
+        const sender = `${from.address}/${process.incarnation}`;
+        deliver(to, directDelayMs, receiver => {
+            receiver.peers.recordDigest(from.address, String(process.incarnation), now);
+            addresses.forEach(address => receiver.peers.discover(address, now));
+            receiver.group.applyPeerTotals(sender, []);
+        });
+    }
+
+    function tick(instance: Instance, process: Process): void {
+        const { peers, group } = process;
+        const inContact = peers.inContact(now);
+        const intervalMs = Math.min(heartbeatMs, tickMs * Math.max(1, inContact.length / maxPeersAtBaseInterval));
+        if (inContact.length > 0 && now - process.digestSentAt >= 0.9 * intervalMs) {
+            process.digestSentAt = now;
+            const delayMs = minRelayDelayMs + random.next() * (maxRelayDelayMs - minRelayDelayMs);
+            sendDigest(instance, process, inContact.map(({ address }) => byAddress.get(address)!), delayMs, false);
+        }
+        const due = peers.dueForProbe(now);
+        sendDigest(instance, process, due.map(({ address }) => byAddress.get(address)!), directDelayMs, true);
+        group.tick();
+        group.setContactShare(peers.contactShare(now));
+    }
+
+    function request({ process }: Instance): void {
+        const waitMs = process!.limits.limitOf(organisation)?.take(now) ?? 0;
+        (waitMs === 0 ? run.admitted : run.rejected).push(now);
+    }
+
+    function applyEvent({ kind, instances: indices, forMs = 0 }: FleetEvent): void {
+        for (const instance of indices.map(index => instances[index]!)) {
+            if (kind === "restart") {
+                instance.process = undefined;
+                instance.startsAt = now + forMs;
+            }
+            else if (kind === "pause") {
+                instance.pausedUntil = now + forMs;
+            }
+            else {
+                instance.process?.limits.configure(kind === "grant" ? [organisation] : []);
+            }
+        }
+    }
+
+    /** Returns the number of requests in a step at an instance with a weight. */
+    function arrivals(weight: number): number {
+        if (now < warmUpMs) {
+            return 0;
+        }
+        const expected = scenario.demandPerSecond(now) * weight / totalWeight * stepMs / 1_000;
+        if (scenario.isInStep === true) {
+            return Math.floor(now / stepMs * expected + expected) - Math.floor(now / stepMs * expected);
+        }
+        // Requests of a Poisson process.
+        let count = 0;
+        for (let product = random.next(); product > Math.exp(-expected); product *= random.next()) {
+            count += 1;
+        }
+        return count;
+    }
+
+    for (; now < (scenario.durationMs ?? defaultDurationMs); now += stepMs) {
+        scenario.events?.filter(({ atMs }) => atMs === now).forEach(applyEvent);
+        for (const instance of instances) {
+            if (instance.process === undefined && now >= instance.startsAt) {
+                start(instance);
+            }
+            instance.queuedRequests += arrivals(instance.weight);
+            const { process } = instance;
+            if (process === undefined) {
+                instance.queuedRequests = 0;
+                continue;
+            }
+            if (now < instance.pausedUntil) {
+                continue;
+            }
+            // Requests that arrived during a pause are handled before digests and timers.
+            for (; instance.queuedRequests > 0; instance.queuedRequests -= 1) {
+                request(instance);
+            }
+            instance.queuedDigests.splice(0).forEach(receive => receive());
+            if ((now + instance.index * stepMs) % tickMs === 0) {
+                tick(instance, process);
+            }
+        }
+        deliveries.get(now)?.forEach(({ apply }) => apply());
+        deliveries.delete(now);
+    }
+    return run;
+}
+
+/** Window in milliseconds of the users' bound on admissions. */
+const windowMs = 5_000;
+
+/** Returns the maximum number of times within one window. */
+export function maxInWindow(times: readonly number[]): number {
+    let max = 0;
+    for (let first = 0, last = 0; last < times.length; last++) {
+        while (times[last]! - times[first]! >= windowMs) {
+            first += 1;
+        }
+        max = Math.max(max, last - first + 1);
+    }
+    return max;
+}
+
+/** Returns the admissions that users accept in a window: 10% above the plan plus 20 requests. */
+export function allowedInWindow({ ratePerSecond, burst }: Plan): number {
+    return (ratePerSecond * windowMs / 1_000 + burst) * 1.1 + 20;
+}
