Add failing tests for limits that restarted instances exceed

The simulation plays the limits of one organisation with the instances' discovery, digests, restarts, pauses and changes of the configuration.

--- /dev/null
+++ b/test/limits/restarted-instances.test.ts
@@ -0,0 +1,58 @@
+import { allowedInWindow, maxInWindow, simulateFleet, warmUpMs } from "./fleet-simulation";
+import type { FleetEvent, FleetScenario, Plan } from "./fleet-simulation";
+
+const instances = 40;
+const all = Array.from({ length: instances }, (_, index) => index);
+const plan: Plan = { ratePerSecond: 60, burst: 120 };
+/** Plan whose burst is used up within the interval of digests. */
+const smallBurst: Plan = { ratePerSecond: 50, burst: 20 };
+const restartMs = 300;
+
+/** Returns ten times the plan's rate from all callers together. */
+function tenTimes({ ratePerSecond }: Plan): FleetScenario["demandPerSecond"] {
+    return () => 10 * ratePerSecond;
+}
+
+function restartAt(atMs: number, restarted: readonly number[]): FleetEvent {
+    return { kind: "restart", atMs: warmUpMs + atMs, instances: restarted, forMs: restartMs };
+}
+
+/** Returns a third of the instances, different ones for each turn. */
+function third(turn: number): number[] {
+    return all.filter(index => index % 3 === turn % 3);
+}
+
+function expectWithinLimit(fields: Partial<FleetScenario> & { plan: Plan; }): void {
+    const run = simulateFleet({ seed: 1, instances, demandPerSecond: tenTimes(fields.plan), ...fields });
+    expect(maxInWindow(run.admitted)).toBeLessThanOrEqual(allowedInWindow(fields.plan));
+}
+
+// Guards against an organisation that gets more than its limit because instances forget what the fleet has admitted (incident inc3).
+describe("an organisation that sends ten times its rate stays within its limit", () => {
+    test.failing("when all instances restart", () => {
+        expectWithinLimit({ plan, events: [restartAt(4_000, all)] });
+    });
+
+    test.failing("when all instances restart twice", () => {
+        expectWithinLimit({ plan, events: [restartAt(4_000, all), restartAt(7_000, all)] });
+    });
+
+    test.failing("when a third of the instances restarts each second", () => {
+        const events = [0, 1, 2, 3, 4].map(turn => restartAt(4_000 + 1_000 * turn, third(turn)));
+        expectWithinLimit({ plan, events });
+    });
+
+    test.failing("when it leaves the configuration and comes back, from instance to instance at different times", () => {
+        const events = all.flatMap((index): FleetEvent[] => [
+            { kind: "withdraw", atMs: warmUpMs + 4_000 + 20 * index, instances: [index] },
+            { kind: "grant", atMs: warmUpMs + 4_500 + 20 * index, instances: [index] },
+        ]);
+        expectWithinLimit({ plan, events });
+    });
+
+    // Guards against a burst that is granted by each of many instances before they hear of each other's admissions.
+    test.failing("when its burst is used up between two digests", () => {
+        const demandPerSecond = (now: number) => (now < warmUpMs + 5_000 ? 0.6 : 10) * smallBurst.ratePerSecond;
+        expectWithinLimit({ plan: smallBurst, seed: 2, demandPerSecond });
+    });
+});
