Keep the limit of an organisation that leaves the configuration and returns

A removed limit now keeps its bucket and its total for ten minutes, longer than any instance keeps another one's total, and goes on taking the others' reports. Three of the five tests of test/limits/limit-group.test.ts failed before, the one of memory as well.

--- a/packages/gateway/src/rate-limits.ts
+++ b/packages/gateway/src/rate-limits.ts
@@ -35,7 +35,7 @@
     log: Pick<DecisionLog, "stateChange">,
 ): RateLimits {
     function put({ name, ratePerSecond, burst }: Organisation): void {
-        const limit = group.get(name);
+        const limit = group.restore(name);
         if (limit !== undefined) {
             limit.resize(ratePerSecond, burst, now());
             return;
--- a/packages/limits/src/limit-group.ts
+++ b/packages/limits/src/limit-group.ts
@@ -14,8 +14,13 @@
     all(): IterableIterator<[name: string, limit: SharedLimit]>;
     /** Adds a limit and sets its contact share to the current one. */
     add(name: string, limit: SharedLimit): void;
-    /** Removes the limits whose names are not among these. */
+    /**
+     * Removes the limits whose names are not among these. Their buckets and totals are kept for a while: the tokens of one that
+     * returns have been used up, and a total that began again would look like tokens put back.
+     */
     retain(names: ReadonlySet<string>): void;
+    /** Returns a limit, one that was removed included, which is in force again then; undefined when none is kept. */
+    restore(name: string): SharedLimit | undefined;
     setContactShare(share: number): void;
     /** Called several times a second while the process runs; a gap between two calls shows that it was paused. */
     tick(): void;
@@ -33,8 +38,15 @@
     /** Part of `sentTotal` that was new when it was first sent. */
     sentIncrement: number;
     resendsLeft: number;
+    /** Monotonic time in milliseconds at which the limit was removed; undefined while it is in force. */
+    removedAt: number | undefined;
 }
 
+/** Time in milliseconds for which a removed limit is kept, longer than any instance keeps another one's total. */
+const removedLimitTtlMs = 600_000;
+/** Maximum number of removed limits that are kept; those removed first are evicted first. */
+const maxRemovedLimits = 10_000;
+
 /** Time in milliseconds since the last `tick` after which the process counts as paused. */
 const pauseThresholdMs = 700;
 /** Maximum number of instances whose last contact is kept; the least recent one is evicted first. */
@@ -81,6 +93,13 @@
         }
     }
 
+    function deleteOldLimits(): void {
+        const removed = [...entries].filter(([, { removedAt }]) => removedAt !== undefined);
+        removed.filter(([, { removedAt }], index) =>
+            now() - removedAt! > removedLimitTtlMs || index < removed.length - maxRemovedLimits
+        ).forEach(([name]) => entries.delete(name));
+    }
+
     /** Returns whether the next digest carries the total of a limit; updates the sent total of one that has changed. */
     function needsSending(entry: Entry): boolean {
         const { admitted } = entry.limit;
@@ -97,23 +116,41 @@
     return {
         get(name) {
             detectPause();
-            return entries.get(name)?.limit;
+            const entry = entries.get(name);
+            return entry?.removedAt === undefined ? entry?.limit : undefined;
         },
         *all() {
-            for (const [name, { limit }] of entries) {
-                yield [name, limit];
+            for (const [name, { limit, removedAt }] of entries) {
+                if (removedAt === undefined) {
+                    yield [name, limit];
+                }
             }
         },
         add(name, limit) {
             limit.setContactShare(contactShare, now());
-            entries.set(name, { limit, sentTotal: 0, sentIncrement: 0, resendsLeft: 0 });
+            entries.set(name, { limit, sentTotal: 0, sentIncrement: 0, resendsLeft: 0, removedAt: undefined });
         },
         retain(names) {
-            [...entries.keys()].filter(name => !names.has(name)).forEach(name => entries.delete(name));
+            for (const [name, entry] of [...entries]) {
+                if (!names.has(name) && entry.removedAt === undefined) {
+                    entry.removedAt = now();
+                    // The order of the map is that of removal.
+                    entries.delete(name);
+                    entries.set(name, entry);
+                }
+            }
+        },
+        restore(name) {
+            const entry = entries.get(name);
+            if (entry !== undefined) {
+                entry.removedAt = undefined;
+            }
+            return entry?.limit;
         },
         tick() {
             detectPause();
             lastTickAt = now();
+            deleteOldLimits();
         },
         setContactShare(share) {
             if (share !== contactShare) {
