--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -153,6 +153,7 @@
         }),
         receive: receiveDigest,
         receiveRecords: streams.applyPushed,
+        runningSince: limitDecisions.runningSince,
         answerTokenRequest: limitDecisions.answer,
         receiveTokenResponse: limitDecisions.receive,
         updateContactShare(share) {
--- a/packages/gateway/src/limit-decisions.ts
+++ b/packages/gateway/src/limit-decisions.ts
@@ -20,6 +20,8 @@
     receive(address: string, response: TokenResponse): void;
     /** Called several times a second with the share of known instances in contact. */
     updateContact(share: number): void;
+    /** Returns the monotonic time in milliseconds since which this instance runs without a pause. */
+    runningSince(): number;
 }
 
 /** Dependencies of the decisions. */
@@ -29,7 +31,9 @@
     now(): number;
     /** Distinguishes restarts of this instance. */
     incarnation: string;
-    log: Pick<DecisionLog, "count" | "lifecycle">;
+    log: Pick<DecisionLog, "count" | "lifecycle" | "stateChange">;
+    /** @default the wall clock in milliseconds */
+    wallClock?(): number;
 }
 
 /** Longest time in milliseconds for a decision: an instance that starts waits until it is in contact with the others. */
@@ -37,18 +41,41 @@
 /** Time in milliseconds for which a ranking of owners is kept; contact changes more slowly. */
 const rankingTtlMs = 100;
 
+/**
+ * Change of the difference between the wall clock and the monotonic clock, in milliseconds, that is taken for a suspension. A
+ * step of the wall clock looks the same; the limits of this instance are then owned by others for a few seconds.
+ */
+const minSuspensionMs = 700;
+
 /** Creates the decisions of an instance that starts now. */
-export function createLimitDecisions({ group, mesh, now, incarnation, log }: LimitDecisionParts): LimitDecisions {
+export function createLimitDecisions(parts: LimitDecisionParts): LimitDecisions {
+    const { group, mesh, now, incarnation, log, wallClock = Date.now } = parts;
     const startedAt = now();
     const owner = createTokenOwner({ group, now });
     let rankings = new Map<string, string[]>();
     let rankedAt = -Infinity;
     let isStarted = false;
+    let clockDifference = wallClock() - startedAt;
+
+    function runningSince(): number {
+        return Math.max(startedAt, group.pausedAt());
+    }
+
+    /** Detects that the process was suspended together with its monotonic clock: the wall clock has advanced by more. */
+    function detectSuspension(): void {
+        const difference = wallClock() - now();
+        const suspendedMs = difference - clockDifference;
+        clockDifference = difference;
+        if (Math.abs(suspendedMs) > minSuspensionMs) {
+            group.recordSuspension();
+            log.stateChange("clock_difference_changed", { changedByMs: Math.round(suspendedMs) });
+        }
+    }
 
     function candidates(): OwnerCandidate[] {
-        const self: OwnerCandidate = { address: mesh().self, startedAt };
+        const self: OwnerCandidate = { address: mesh().self, runningSince: runningSince() };
         const others = mesh().peers().flatMap(peer =>
-            peer.startedAt === undefined ? [] : [{ address: peer.address, startedAt: peer.startedAt }]
+            peer.runningSince === undefined ? [] : [{ address: peer.address, runningSince: peer.runningSince }]
         );
         return [self, ...others];
     }
@@ -82,6 +109,7 @@
 
     return {
         answer: owner.answer,
+        runningSince,
         receive: client.receive,
         take: (name, maxWaitMs) =>
             new Promise(resolve => {
@@ -90,8 +118,9 @@
                 });
             }),
         updateContact(share) {
-            const oldestStartedAt = Math.min(...candidates().map(candidate => candidate.startedAt));
-            const isSimultaneous = startedTogether(startedAt, oldestStartedAt);
+            detectSuspension();
+            const longestRunningSince = Math.min(...candidates().map(candidate => candidate.runningSince));
+            const isSimultaneous = startedTogether(runningSince(), longestRunningSince);
             owner.updateContact(share, isSimultaneous);
             if (!isStarted && owner.startsInMs() === 0) {
                 isStarted = true;
--- a/packages/limits/src/limit-group.ts
+++ b/packages/limits/src/limit-group.ts
@@ -24,6 +24,13 @@
     setContactShare(share: number): void;
     /** Called several times a second while the process runs; a gap between two calls shows that it was paused. */
     tick(): void;
+    /** Returns the monotonic time in milliseconds at which the last pause of the process was detected; -Infinity without one. */
+    pausedAt(): number;
+    /**
+     * Discards what the buckets hold and what others have reported: the process was suspended together with its clock, so that
+     * neither the tokens refilled meanwhile nor those admitted by others can be told.
+     */
+    recordSuspension(): void;
     /** Returns the monotonic time in milliseconds of the last contact with an instance; -Infinity without any. */
     lastContactAt(sender: string): number;
     /**
@@ -82,6 +89,7 @@
     const ended = new Set<string>();
     let contactShare = 1;
     let lastTickAt: number | undefined;
+    let lastPauseAt = -Infinity;
 
     function recordContact(sender: string): void {
         lastContacts.delete(sender);
@@ -121,6 +129,7 @@
         const pausedMs = lastTickAt === undefined ? 0 : now() - lastTickAt;
         if (pausedMs > pauseThresholdMs) {
             lastTickAt = now();
+            lastPauseAt = now();
             entries.forEach(({ limit }) => limit.recordPause(pausedMs, now()));
         }
     }
@@ -190,6 +199,11 @@
                 entries.forEach(({ limit }) => limit.setContactShare(share, now()));
             }
         },
+        pausedAt: () => lastPauseAt,
+        recordSuspension() {
+            lastPauseAt = now();
+            entries.forEach(({ limit }) => limit.restart(now(), 0));
+        },
         lastContactAt: sender => lastContacts.get(sender) ?? -Infinity,
         applyPeerTotals(sender, totals) {
             detectPause();
--- a/packages/limits/src/limit-ownership.ts
+++ b/packages/limits/src/limit-ownership.ts
@@ -9,8 +9,8 @@
 export interface OwnerCandidate {
     /** Address by which requests reach the instance. */
     address: string;
-    /** Monotonic time in milliseconds, on the clock of the instance that ranks, at which the candidate started. */
-    startedAt: number;
+    /** Monotonic time in milliseconds, on the clock of the instance that ranks, since which the candidate runs without a pause. */
+    runningSince: number;
 }
 
 /** Age in milliseconds from which an instance owns limits: its copies of the buckets have been refilled and corrected. */
@@ -38,23 +38,23 @@
 }
 
 /** Returns whether an instance started together with the oldest one. */
-export function startedTogether(startedAt: number, oldestStartedAt: number): boolean {
-    return startedAt - oldestStartedAt <= simultaneousStartMs;
+export function startedTogether(runningSince: number, longestRunningSince: number): boolean {
+    return runningSince - longestRunningSince <= simultaneousStartMs;
 }
 
 /**
  * Returns whether an instance may own limits. A restarted instance's copies are behind, so it owns none while older instances
  * are in contact; after a restart of all instances, those that started together own the limits at once.
  */
-export function mayOwn(startedAt: number, oldestStartedAt: number, now: number): boolean {
-    return now - startedAt >= settledAgeMs || startedTogether(startedAt, oldestStartedAt);
+export function mayOwn(runningSince: number, longestRunningSince: number, now: number): boolean {
+    return now - runningSince >= settledAgeMs || startedTogether(runningSince, longestRunningSince);
 }
 
 /** Returns the addresses of the instances that may own a limit, the owner first. */
 export function rankOwners(name: string, candidates: readonly OwnerCandidate[], now: number): string[] {
-    const oldestStartedAt = Math.min(...candidates.map(({ startedAt }) => startedAt));
+    const longestRunningSince = Math.min(...candidates.map(({ runningSince }) => runningSince));
     const nameHash = hashText(name);
-    return candidates.filter(({ startedAt }) => mayOwn(startedAt, oldestStartedAt, now))
+    return candidates.filter(({ runningSince }) => mayOwn(runningSince, longestRunningSince, now))
         .map(({ address }) => ({ address, score: mixBits(nameHash ^ mixBits(hashText(address))) }))
         .sort((a, b) => b.score - a.score || (a.address < b.address ? -1 : 1))
         .map(({ address }) => address);
--- a/packages/limits/src/peer-totals.ts
+++ b/packages/limits/src/peer-totals.ts
@@ -16,6 +16,7 @@
     assume(now: number): number;
     /** Removes an instance that has ended, and returns the admissions that were assumed after its end. */
     remove(peer: string): number;
+    clear(): void;
     /** Returns how many instances in contact have reported, and the age of the oldest of their reports in milliseconds. */
     news(now: number): PeerNews;
 }
@@ -90,6 +91,7 @@
             peers.delete(name);
             return peer === undefined ? 0 : Math.max(0, peer.assumed - peer.rate * maxUnreportedMs);
         },
+        clear: () => peers.clear(),
         news(now) {
             const ages = [...peers].map(([name, peer]) => now - lastKnownAt(name, peer, now))
                 .filter(ageMs => ageMs < maxAssumedMs);
--- a/packages/limits/src/shared-limit.ts
+++ b/packages/limits/src/shared-limit.ts
@@ -41,7 +41,10 @@
     applyPeerTotal(peer: string, total: number, now: number, increment?: number): number;
     /** Records that another instance has ended, so that no further admissions of it are assumed. */
     removePeer(peer: string, now: number): void;
-    /** Discards what is known of the tokens left, and begins with those that a time earns. */
+    /**
+     * Discards what is known of the tokens left and of other instances' totals, and begins with the tokens that a time
+     * earns.
+     */
     restart(now: number, earnedMs: number): void;
     /** Sets the rate and burst of a new configuration. */
     resize(ratePerSecond: number, burst: number, now: number): void;
@@ -145,6 +148,7 @@
             refill(now);
             level = Math.min(burst * contactShare, earnedMs * ratePerSecond * contactShare / 1_000);
             withheld = 0;
+            peers.clear();
         },
         resize(newRate, newBurst, now) {
             refill(now);
--- a/packages/mesh/src/datagram-receiver.ts
+++ b/packages/mesh/src/datagram-receiver.ts
@@ -78,7 +78,7 @@
             return;
         }
         if (digest.uptimeMs >= 0) {
-            peer.startedAt = Math.min(peer.startedAt ?? Infinity, now - digest.uptimeMs);
+            peers.recordUptime(peer, digest.uptimeMs, now);
         }
         digest.instances.forEach(instance => peers.discover(instance, now));
         if (digest.probe) {
--- a/packages/mesh/src/digest.ts
+++ b/packages/mesh/src/digest.ts
@@ -48,7 +48,10 @@
     storeOutageEndAgeMs: number;
     /** Sequence number of the digest within the sender's incarnation. */
     sequence: number;
-    /** Time in milliseconds since the sender started; -1 from instances of earlier versions, which own no limits. */
+    /**
+     * Time in milliseconds since the sender started or was last paused; -1 from instances of earlier versions, which own no
+     * limits.
+     */
     uptimeMs: number;
 }
 
--- a/packages/mesh/src/mesh-options.ts
+++ b/packages/mesh/src/mesh-options.ts
@@ -34,6 +34,8 @@
     clock: Clock;
     log: DecisionLog;
     random(): number;
+    /** Returns the monotonic time in milliseconds at which this instance started or was last paused. */
+    runningSince(): number;
     /** Returns the current state, with the counts and totals that changed since the previous call. */
     collectDigestContent(): DigestContent;
     receive(digest: Digest, peer: Peer): void;
--- a/packages/mesh/src/mesh.ts
+++ b/packages/mesh/src/mesh.ts
@@ -70,7 +70,6 @@
     let closed = false;
     let relayTurn = 0;
     let sequence = 0;
-    const createdAt = clock.now();
     const forwarder = createDigestForwarder({
         domain: options.domain,
         now: () => clock.now(),
@@ -79,6 +78,9 @@
     });
 
     function send(bytes: Uint8Array, to: string): void {
+        if (closed) {
+            return;
+        }
         const { host, port } = splitAddress(to);
         socket.send(bytes, port, host, error => {
             if (error !== null) {
@@ -105,7 +107,7 @@
             linkMbps: options.linkMbps,
             storeOutageEndAgeMs: content.storeOutageEndAgeMs ?? -1,
             sequence: sequence += 1,
-            uptimeMs: Math.round(clock.now() - createdAt),
+            uptimeMs: Math.round(clock.now() - options.runningSince()),
             ...flags,
         });
     }
--- a/packages/mesh/src/peers.ts
+++ b/packages/mesh/src/peers.ts
@@ -20,8 +20,8 @@
     storeOutageEndedAt: number | undefined;
     /** Bandwidth of the instance's link in megabits per second; 0 while unknown. */
     linkMbps: number;
-    /** Monotonic time in milliseconds at which the incarnation started; undefined while unknown. */
-    startedAt: number | undefined;
+    /** Monotonic time in milliseconds since which the incarnation runs without a pause; undefined while unknown. */
+    runningSince: number | undefined;
     /** Highest sequence number of the digests of the incarnation. */
     sequence: number;
 }
@@ -40,6 +40,8 @@
 /** Maximum number of probes sent at once. Each response lists the addresses of all instances, which are probed in turn. */
 const maxProbesPerTick = 10;
 
+/** Longest time in milliseconds for which a digest is usually on its way. */
+const maxDigestDelayMs = 500;
 /** Maximum number of departed instances that are kept; the oldest are evicted first. */
 const maxDepartedPeers = 512;
 
@@ -48,6 +50,8 @@
     discover(address: string, now: number): void;
     /** Records a digest; returns undefined for a late one from an incarnation that has left. */
     recordDigest(address: string, incarnation: string, now: number): Peer | undefined;
+    /** Records the time for which an instance has run without a pause, as it arrived in a digest. */
+    recordUptime(peer: Peer, uptimeMs: number, now: number): void;
     /** Records the arrival of any datagram from an address. */
     recordDatagram(address: string, now: number): void;
     /** Removes an instance whose incarnation is shutting down. */
@@ -103,7 +107,7 @@
                 isStoreUnavailable: true,
                 storeOutageEndedAt: undefined,
                 linkMbps: 0,
-                startedAt: undefined,
+                runningSince: undefined,
                 sequence: -1,
             };
             peers.set(address, peer);
@@ -121,12 +125,18 @@
             if (peer.incarnation !== incarnation) {
                 peer.incarnation = incarnation;
                 peer.sequence = -1;
-                peer.startedAt = undefined;
+                peer.runningSince = undefined;
             }
             peer.lastDigestAt = now;
             peer.lastSeenAt = now;
             return peer;
         },
+        recordUptime(peer, uptimeMs, now) {
+            const since = now - uptimeMs;
+            const known = peer.runningSince ?? Infinity;
+            // The digest that was on its way for the shortest time is the most accurate one; a pause moves the time by more.
+            peer.runningSince = since - known > maxDigestDelayMs ? since : Math.min(known, since);
+        },
         recordDatagram(address, now) {
             const peer = peers.get(address);
             if (peer !== undefined) {
--- a/test/limits/fleet-simulation.ts
+++ b/test/limits/fleet-simulation.ts
@@ -151,7 +151,8 @@
             now: () => now,
             schedule: (callback, ms) =>
                 enqueue(instance, ms, () => instance.process?.incarnation === incarnation && callback()),
-            owners: name => rankOwners(name, candidates(instance.address, startedAt, peers), now),
+            owners: name =>
+                rankOwners(name, candidates(instance.address, runningSince({ startedAt, group }), peers), now),
             fleetSize: () => Math.round((peers.inContact(now).length + 1) / peers.contactShare(now)),
             send(address, message) {
                 const asked = byAddress.get(address)!;
@@ -166,9 +167,9 @@
     }
 
     /** Returns the instances that may own limits, as one instance knows them. */
-    function candidates(self: string, startedAt: number, peers: Peers): OwnerCandidate[] {
-        const known = peers.inContact(now).map(peer => ({ address: peer.address, startedAt: peer.startedAt! }));
-        return [{ address: self, startedAt }, ...known];
+    function candidates(self: string, since: number, peers: Peers): OwnerCandidate[] {
+        const known = peers.inContact(now).map(peer => ({ address: peer.address, runningSince: peer.runningSince! }));
+        return [{ address: self, runningSince: since }, ...known];
     }
 
     function enqueue(to: Instance, delayMs: number, apply: () => void): void {
@@ -216,10 +217,10 @@
             () => inContact[Math.floor(random.next() * inContact.length)]!.address,
         );
         const sender = `${from.address}/${process.incarnation}`;
-        const uptimeMs = now - process.startedAt;
+        const uptimeMs = now - runningSince(process);
         to.forEach(other =>
             deliver(from, other, delayMs, receiver => {
-                receiver.peers.recordDigest(from.address, String(process.incarnation), now)!.startedAt = now - uptimeMs;
+                recordSender(receiver, from, process, uptimeMs);
                 addresses.forEach(address => receiver.peers.discover(address, now));
                 receiver.group.applyPeerTotals(sender, totals);
                 if (isProbe) {
@@ -229,12 +230,21 @@
         );
     }
 
+    function recordSender({ peers }: Process, { address }: Instance, { incarnation }: Process, uptimeMs: number): void {
+        const peer = peers.recordDigest(address, String(incarnation), now)!;
+        peers.recordUptime(peer, uptimeMs, now);
+    }
+
+    function runningSince({ startedAt, group }: Pick<Process, "startedAt" | "group">): number {
+        return Math.max(startedAt, group.pausedAt());
+    }
+
     function respond(from: Instance, process: Process, to: Instance): void {
         const addresses = process.peers.addresses();
         const sender = `${from.address}/${process.incarnation}`;
-        const uptimeMs = now - process.startedAt;
+        const uptimeMs = now - runningSince(process);
         deliver(from, to, directDelayMs, receiver => {
-            receiver.peers.recordDigest(from.address, String(process.incarnation), now)!.startedAt = now - uptimeMs;
+            recordSender(receiver, from, process, uptimeMs);
             addresses.forEach(address => receiver.peers.discover(address, now));
             receiver.group.applyPeerTotals(sender, []);
         });
@@ -259,9 +269,9 @@
         group.tick();
         group.setContactShare(peers.contactShare(now));
         const oldest = Math.min(
-            ...candidates(instance.address, process.startedAt, peers).map(other => other.startedAt),
+            ...candidates(instance.address, runningSince(process), peers).map(other => other.runningSince),
         );
-        process.owner.updateContact(peers.contactShare(now), startedTogether(process.startedAt, oldest));
+        process.owner.updateContact(peers.contactShare(now), startedTogether(runningSince(process), oldest));
     }
 
     function request({ process }: Instance): void {
--- a/test/limits/restarted-instances.test.ts
+++ b/test/limits/restarted-instances.test.ts
@@ -92,3 +92,26 @@
         expectWithinLimit({ plan, events, lossShare: 0.3 });
     });
 });
+
+// Guards against an owner that stood still or was restarted and rejects requests within the limit, since its copy of the bucket is behind.
+describe("an organisation that sends its usual load loses hardly any request", () => {
+    const pausedThird: FleetEvent = { kind: "pause", atMs: warmUpMs + 4_000, instances: third(0), forMs: 3_000 };
+    const inTurn = Array.from(
+        { length: 10 },
+        (_, turn) => restartAt(2_000 + 800 * turn, all.slice(4 * turn, 4 * turn + 4)),
+    );
+
+    test.each([
+        { name: "while a third of the instances stands still", events: [pausedThird] },
+        { name: "while all instances restart in turn", events: inTurn },
+    ])("$name", ({ events }) => {
+        const run = simulateFleet({
+            seed: 1,
+            instances,
+            plan,
+            events,
+            demandPerSecond: () => 0.6 * plan.ratePerSecond,
+        });
+        expect(run.rejected.length).toBeLessThanOrEqual(0.01 * (run.admitted.length + run.rejected.length));
+    });
+});
--- a/test/limits/token-owner.test.ts
+++ b/test/limits/token-owner.test.ts
@@ -74,7 +74,7 @@
 
 /** Returns instances that all started long ago. */
 function candidates(count: number): OwnerCandidate[] {
-    return Array.from({ length: count }, (_, index) => ({ address: `10.1.0.${index}:7660`, startedAt: 0 }));
+    return Array.from({ length: count }, (_, index) => ({ address: `10.1.0.${index}:7660`, runningSince: 0 }));
 }
 
 const now = 60_000;
@@ -105,14 +105,14 @@
     // Guards against an owner that has just started, whose copy of the bucket holds nothing although the limit has not been used.
     test("passes over instances that started after the others", () => {
         const known = candidates(3).map((candidate, index) =>
-            index === 0 ? { ...candidate, startedAt: now - 1_000 } : candidate
+            index === 0 ? { ...candidate, runningSince: now - 1_000 } : candidate
         );
         names.forEach(name => expect(rankOwners(name, known, now)).not.toContain(known[0]!.address));
         names.forEach(name => expect(rankOwners(name, known, now + 4_000)).toContain(known[0]!.address));
     });
 
     test("takes all instances when they started together", () => {
-        const known = candidates(3).map(candidate => ({ ...candidate, startedAt: now - 600 }));
+        const known = candidates(3).map(candidate => ({ ...candidate, runningSince: now - 600 }));
         expect(rankOwners("taipei", known, now)).toHaveLength(3);
     });
 });
--- a/test/mesh/relays.test.ts
+++ b/test/mesh/relays.test.ts
@@ -102,6 +102,7 @@
                     received.push(digest);
                 },
                 receiveRecords: () => undefined,
+                runningSince: () => 0,
                 answerTokenRequest: ({ id, name }) => ({ id, name, decision: { kind: "unknown" } }),
                 receiveTokenResponse: () => undefined,
                 updateContactShare: () => undefined,
