--- a/test/placement/retry-budget.test.ts
+++ b/test/placement/retry-budget.test.ts
@@ -13,11 +13,13 @@
     const burst = retryBucketTokens(bounds);
     return createSharedLimit({ ratePerSecond: 0, burst, initialLevel: burst / 2, now, contactShare: 1 });
 }
+
 const totalsIntervalMs = 200;
 
 interface Instance {
     bucket: SharedLimit;
     budget: RetryBudget;
+    incarnation: number;
 }
 
 /** Simulates requests at instances that exchange their totals; returns the times of requests and retries. */
@@ -27,18 +29,29 @@
         requestsPerSecond: number;
         durationMs: number;
         failing(now: number, instance: number): boolean;
+        /** Returns whether an instance restarts at a moment. */
+        restarts?(now: number, instance: number): boolean;
     },
 ): { requests: number[]; retries: number[]; failedCount: number; } {
     let now = 0;
     const random = createRandomSource(load.instances);
-    const instances = Array.from({ length: load.instances }, (): Instance => {
+    function start(): Instance {
         const bucket = createBucket(now);
-        return { bucket, budget: createRetryBudget(bounds, bucket, () => now) };
-    });
+        starts += 1;
+        return { bucket, budget: createRetryBudget(bounds, bucket, () => now), incarnation: starts };
+    }
+
+    let starts = 0;
+    const instances = Array.from({ length: load.instances }, start);
     const requests: number[] = [];
     const retries: number[] = [];
     let failedCount = 0;
     for (; now < load.durationMs; now += stepMs) {
+        instances.forEach((_, index) => {
+            if (load.restarts?.(now, index) === true) {
+                instances[index] = start();
+            }
+        });
         instances.forEach(({ budget }, index) => {
             if (random.next() >= load.requestsPerSecond / load.instances * stepMs / 1_000) {
                 return;
@@ -53,9 +66,9 @@
             }
         });
         if (now % totalsIntervalMs === 0) {
-            instances.forEach(({ bucket }, from) =>
+            instances.forEach(({ bucket, incarnation }, from) =>
                 instances.filter((_, to) => to !== from).forEach(other =>
-                    other.bucket.applyPeerTotal(String(from), bucket.admitted, now)
+                    other.bucket.applyPeerTotal(String(incarnation), bucket.admitted, now)
                 )
             );
         }
@@ -79,6 +92,26 @@
         expect(result.retries.length).toBeGreaterThan(0.15 * result.requests.length);
     });
 
+    // Listed in KNOWN-RED.txt. Guards against a reserve that instances spend once more after each restart (the class of incident
+    // inc3). A bucket that starts empty holds, but leaves a fleet without retries for its first 60 requests.
+    test.failing.each([
+        { name: "all restart twice", restarts: (now: number) => now === 8_000 || now === 11_000 },
+        {
+            name: "a third restarts each second",
+            restarts: (now: number, index: number) =>
+                now >= 8_000 && now <= 12_000 && now % 1_000 === 0 && index % 3 === now / 1_000 % 3,
+        },
+    ])("keeps the whole fleet within the budget when $name", ({ restarts }) => {
+        const result = simulate({
+            instances: 40,
+            requestsPerSecond: 160,
+            durationMs: 20_000,
+            failing: () => true,
+            restarts,
+        });
+        expect(maxBeyondRatio(result)).toBeLessThanOrEqual(bounds.reserve);
+    });
+
     // Guards against a fixed share of the budget for each instance, which was one attempt: a gray target fails its requests
     // for two seconds, several of them at the same instance.
     test("lets one instance use the budget that the others leave", () => {
