Use a token that an owner grants late only once

A request for a token is repeated after 40 ms. When both responses arrived, or more than one late one, each granted response beyond the first was kept as a token for another request, so that an owner on a slow instance admitted up to one token too many for each of its late answers. A response counts as a late token only for a request that went on to another instance, and once. Both tests failed before.

--- a/packages/limits/src/token-client.ts
+++ b/packages/limits/src/token-client.ts
@@ -52,6 +52,8 @@
 const unresponsiveMs = 1_000;
 /** Time in milliseconds for which a token that was granted too late can be used by another request. */
 const lateTokenMs = 500;
+/** Time in milliseconds for which the response to a request that went on to another instance is expected. */
+const lateResponseMs = 1_000;
 /** Longest time in milliseconds for which a rejection answers further requests without asking. */
 const maxReusedRejectionMs = 100;
 
@@ -82,6 +84,8 @@
     const rejections = new Map<string, { until: number; retryAt: number; decidedBy: string; }>();
     /** Times until which tokens can be used that were granted too late, by name of the limit. */
     const lateTokens = new Map<string, number[]>();
+    /** Requests that an instance has not answered in time, by `unansweredKey`, until when its response counts. */
+    const unanswered = new Map<string, number>();
     const ownParts = new Map<string, OwnPart>();
     const startedAt = now();
     let lastId = 0;
@@ -114,6 +118,7 @@
         else if (waitedMs >= giveUpAfterMs) {
             options.count("token_owner_unresponsive");
             unresponsiveUntil.set(address, now() + unresponsiveMs);
+            recordUnanswered(request.id, address);
             ask(request);
         }
         else if (waitedMs >= repeatAfterMs && !request.isRepeated) {
@@ -131,6 +136,28 @@
         }
     }
 
+    function unansweredKey(id: string, address: string): string {
+        return `${id} ${address}`;
+    }
+
+    function recordUnanswered(id: string, address: string): void {
+        for (const [key, until] of unanswered) {
+            if (until > now()) {
+                break;
+            }
+            unanswered.delete(key);
+        }
+        unanswered.set(unansweredKey(id, address), now() + lateResponseMs);
+    }
+
+    /** Keeps a token that was granted too late; a further response to the same request grants none. */
+    function keepLateToken(from: string, { id, name }: TokenResponse): void {
+        if (unanswered.delete(unansweredKey(id, from))) {
+            options.count("token_late");
+            lateTokens.set(name, [...lateTokens.get(name) ?? [], now() + lateTokenMs]);
+        }
+    }
+
     function isResponsive(address: string): boolean {
         return now() >= (unresponsiveUntil.get(address) ?? -Infinity);
     }
@@ -230,12 +257,12 @@
             }
             scheduleCheck();
         },
-        receive(from, { id, name, decision }) {
-            const request = pending.get(id);
+        receive(from, response) {
+            const { decision } = response;
+            const request = pending.get(response.id);
             if (request === undefined) {
                 if (decision.kind === "granted") {
-                    options.count("token_late");
-                    lateTokens.set(name, [...lateTokens.get(name) ?? [], now() + lateTokenMs]);
+                    keepLateToken(from, response);
                 }
                 return;
             }
--- a/test/limits/token-client.test.ts
+++ b/test/limits/token-client.test.ts
@@ -119,6 +119,31 @@
         expect(take()).toEqual([granted]);
     });
 
+    // Guards against a token that is used twice because a request was repeated and both responses arrive.
+    test("takes one token although it was repeated and both responses arrive", () => {
+        const { client, sent, take, start, advance } = createFixture();
+        start();
+        take();
+        advance(60);
+        expect(sent).toHaveLength(2);
+        client.receive("b", { ...sent[0]!.request, decision: granted });
+        client.receive("b", { ...sent[1]!.request, decision: granted });
+        expect(take()).toEqual([]);
+    });
+
+    // Guards against a token that is used once more for each repetition that an owner answers late.
+    test("uses a late token once although two late responses arrive", () => {
+        const { client, sent, take, start, advance } = createFixture();
+        start();
+        take();
+        const { request } = sent[0]!;
+        advance(300);
+        client.receive("b", { ...request, decision: granted });
+        client.receive("b", { ...request, decision: granted });
+        expect(take()).toEqual([granted]);
+        expect(take()).not.toContainEqual(granted);
+    });
+
     test("is rejected without asking until the owner expects the next token", () => {
         const { client, sent, take, start, advance } = createFixture();
         start();
