--- a/packages/limits/src/token-client.ts
+++ b/packages/limits/src/token-client.ts
@@ -52,6 +52,8 @@
 const unresponsiveMs = 1_000;
 /** Time in milliseconds for which a token that was granted too late can be used by another request. */
 const lateTokenMs = 500;
+/** Time in milliseconds without a request that no owner decided, after which this instance's part is earned anew. */
+const ownPartTtlMs = 2_000;
 /** Time in milliseconds for which the response to a request that went on to another instance is expected. */
 const lateResponseMs = 1_000;
 /** Longest time in milliseconds for which a rejection answers further requests without asking. */
@@ -87,7 +89,6 @@
     /** Requests that an instance has not answered in time, by `unansweredKey`, until when its response counts. */
     const unanswered = new Map<string, number>();
     const ownParts = new Map<string, OwnPart>();
-    const startedAt = now();
     let lastId = 0;
     let isCheckScheduled = false;
 
@@ -193,14 +194,20 @@
         request.decided(decision, decidedBy);
     }
 
-    /** Takes a token from this instance's equal part of the limit. */
+    /**
+     * Takes a token from this instance's equal part of the limit. The part is earned from the first request without an owner
+     * on, since the owner may have granted the burst.
+     */
     function takeOwnPart(name: string): TokenDecision {
         const limit = group.get(name);
         if (limit === undefined) {
             return { kind: "unknown" };
         }
-        const part = ownParts.get(name) ?? { tokens: 0, updatedAt: startedAt };
-        ownParts.set(name, part);
+        let part = ownParts.get(name);
+        if (part === undefined || now() - part.updatedAt > ownPartTtlMs) {
+            part = { tokens: 0, updatedAt: now() };
+            ownParts.set(name, part);
+        }
         const partPerMs = limit.ratePerSecond / options.fleetSize() / 1_000;
         const capacity = Math.max(1, limit.burst / options.fleetSize());
         part.tokens = Math.min(capacity, part.tokens + (now() - part.updatedAt) * partPerMs);
