Give up a request whose connection closed while its limit was decided on

A response that waits behind earlier ones of its connection is not told of the close, so that its request went on to wait for its body until the deadline.

--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -203,6 +203,7 @@
                     inputs,
                 }));
             default:
+                // Granted, or the limit has been removed meanwhile.
                 return ok(undefined);
         }
     }
@@ -284,7 +285,8 @@
             refuse(incoming, outgoing, request.id, token.error);
             return;
         }
-        if (outgoing.destroyed) {
+        // A response that waits for earlier ones on its connection is not told when that closes.
+        if (outgoing.destroyed || incoming.socket.destroyed) {
             log.request(request.id, "caller_gone", { arrivals: 0, ageMs: ageOf(admitted) });
             returnToken(admitted);
             return;
--- a/test/gateway/fixtures.ts
+++ b/test/gateway/fixtures.ts
@@ -145,6 +145,8 @@
     isRefused?(instance: number): boolean;
     /** Time from the request to stop until the process would be killed, in seconds. */
     stopSeconds?: number;
+    /** Addresses of instances that every instance knows at its start. */
+    seeds?: string[];
 }): Promise<Fleet> {
     const store = createMemoryStore();
     const targets = await Promise.all(options.responders.map(respond => startScriptedTarget(respond)));
@@ -165,7 +167,7 @@
             peers: `${host}:${ports[2]}`,
             meshPort: ports[3],
             linkMbps: 1_000,
-            seeds: ["127.0.0.1:1"],
+            seeds: options.seeds ?? ["127.0.0.1:1"],
             store: "127.0.0.1:1",
             metrics: { port: ports[4], path: "/metrics" },
             stopSeconds: options.stopSeconds ?? 1,
