Compute the state of a limit for refusals only

The fields of the refusal's log line, one pass over all instances that reported, were computed for each admitted request as well.

--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -187,7 +187,12 @@
             return ok(undefined);
         }
         const { decision, decidedBy } = await parts.limitDecisions.take(organisation.name, endAt - now());
-        const inputs = { organisation: organisation.name, version, decidedBy, ...limitFields(limit.state(now())) };
+        const inputs = () => ({
+            organisation: organisation.name,
+            version,
+            decidedBy,
+            ...limitFields(limit.state(now())),
+        });
         switch (decision.kind) {
             case "rejected":
                 return err(refusal("over_limit", 429, {
@@ -195,12 +200,12 @@
                         maxRetryAfterSeconds,
                         decision.retryAfterMs / 1_000 * (1 + parts.random()),
                     ),
-                    inputs: { waitMs: Math.round(decision.retryAfterMs), ...inputs },
+                    inputs: { waitMs: Math.round(decision.retryAfterMs), ...inputs() },
                 }));
             case "starting":
                 return err(refusal("limit_unavailable", 503, {
                     retryAfterSeconds: decision.remainingMs / 1_000 * (1 + parts.random()),
-                    inputs,
+                    inputs: inputs(),
                 }));
             default:
                 // Granted, or the limit has been removed meanwhile.
