Derive the oldest instance in one place, and the gauges of limits in one pass

limit-ownership computed who started together with the oldest instance in three places, its callers included; startedTogether takes the candidates now. A scrape read the state of each limit once for each of its five gauges; it reads it once.

--- a/packages/gateway/src/limit-decisions.ts
+++ b/packages/gateway/src/limit-decisions.ts
@@ -119,8 +119,7 @@
             }),
         updateContact(share) {
             detectSuspension();
-            const longestRunningSince = Math.min(...candidates().map(candidate => candidate.runningSince));
-            const isSimultaneous = startedTogether(runningSince(), longestRunningSince);
+            const isSimultaneous = startedTogether(runningSince(), candidates());
             owner.updateContact(share, isSimultaneous);
             if (!isStarted && owner.startsInMs() === 0) {
                 isStarted = true;
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -80,22 +80,24 @@
         });
     }
 
-    for (const [name, read] of Object.entries(limitGauges)) {
-        new Gauge({
+    const limitMetrics = Object.entries(limitGauges).map(([name, read]) => ({
+        read,
+        gauge: new Gauge({
             name: `trefoilladder_${name}`,
             help: `${name.replaceAll("_", " ")} by organisation`,
             labelNames: ["organisation"],
             registers,
-            collect() {
-                this.reset();
-                for (const [organisation, limit] of limits.all()) {
-                    const label = organisationLabel(organisation);
-                    if (label === organisation) {
-                        this.set({ organisation }, read(limit.state(now())));
-                    }
-                }
-            },
-        });
+        }),
+    }));
+
+    function updateLimitMetrics(): void {
+        limitMetrics.forEach(({ gauge }) => gauge.reset());
+        for (const [organisation, limit] of limits.all()) {
+            if (organisationLabel(organisation) === organisation) {
+                const state = limit.state(now());
+                limitMetrics.forEach(({ gauge, read }) => gauge.set({ organisation }, read(state)));
+            }
+        }
     }
 
     /** Returns the label of an organisation; the number of labels is bounded. */
@@ -113,6 +115,9 @@
             latencies.observe(labels, ms / 1_000);
         },
         countRefusal: code => refusals.inc({ code }),
-        render: () => registry.metrics(),
+        render() {
+            updateLimitMetrics();
+            return registry.metrics();
+        },
     };
 }
--- a/packages/limits/src/limit-ownership.ts
+++ b/packages/limits/src/limit-ownership.ts
@@ -37,24 +37,25 @@
     return (mixed ^ mixed >>> 16) >>> 0;
 }
 
-/** Returns whether an instance started together with the oldest one. */
-export function startedTogether(runningSince: number, longestRunningSince: number): boolean {
-    return runningSince - longestRunningSince <= simultaneousStartMs;
+/** Returns the latest time in milliseconds at which an instance started together with the oldest of the candidates. */
+function simultaneousUntil(candidates: readonly OwnerCandidate[]): number {
+    return Math.min(...candidates.map(({ runningSince }) => runningSince)) + simultaneousStartMs;
 }
 
-/**
- * Returns whether an instance may own limits. A restarted instance's copies are behind, so it owns none while older instances
- * are in contact; after a restart of all instances, those that started together own the limits at once.
- */
-export function mayOwn(runningSince: number, longestRunningSince: number, now: number): boolean {
-    return now - runningSince >= settledAgeMs || startedTogether(runningSince, longestRunningSince);
+/** Returns whether an instance started together with the oldest of the candidates. */
+export function startedTogether(runningSince: number, candidates: readonly OwnerCandidate[]): boolean {
+    return runningSince <= simultaneousUntil(candidates);
 }
 
-/** Returns the addresses of the instances that may own a limit, the owner first. */
+/**
+ * Returns the addresses of the instances that may own a limit, the owner first. A restarted instance's copies are behind, so it
+ * owns none while older instances are in contact; after a restart of all instances, those that started together own the limits
+ * at once.
+ */
 export function rankOwners(name: string, candidates: readonly OwnerCandidate[], now: number): string[] {
-    const longestRunningSince = Math.min(...candidates.map(({ runningSince }) => runningSince));
+    const latestOwnerStart = Math.max(now - settledAgeMs, simultaneousUntil(candidates));
     const nameHash = hashText(name);
-    return candidates.filter(({ runningSince }) => mayOwn(runningSince, longestRunningSince, now))
+    return candidates.filter(({ runningSince }) => runningSince <= latestOwnerStart)
         .map(({ address }) => ({ address, score: mixBits(nameHash ^ mixBits(hashText(address))) }))
         .sort((a, b) => b.score - a.score || (a.address < b.address ? -1 : 1))
         .map(({ address }) => address);
--- a/test/limits/fleet-simulation.ts
+++ b/test/limits/fleet-simulation.ts
@@ -268,10 +268,9 @@
         sendDigest(instance, process, due.map(({ address }) => byAddress.get(address)!), directDelayMs, true);
         group.tick();
         group.setContactShare(peers.contactShare(now));
-        const oldest = Math.min(
-            ...candidates(instance.address, runningSince(process), peers).map(other => other.runningSince),
-        );
-        process.owner.updateContact(peers.contactShare(now), startedTogether(runningSince(process), oldest));
+        const since = runningSince(process);
+        const isSimultaneous = startedTogether(since, candidates(instance.address, since, peers));
+        process.owner.updateContact(peers.contactShare(now), isSimultaneous);
     }
 
     function request({ process }: Instance): void {
