Delete removed limits when the configuration changes, not at each tick

Each tick, five times a second and twenty after the start, copied the list of all limits to look for removed ones. They are only removed by a configuration, and only matter when they return: retain deletes the old ones, restore returns none that has expired. The tests of removed limits pass unchanged.

--- a/packages/limits/src/limit-group.ts
+++ b/packages/limits/src/limit-group.ts
@@ -134,11 +134,14 @@
         }
     }
 
+    function hasExpired({ removedAt }: Entry): boolean {
+        return removedAt !== undefined && now() - removedAt > removedLimitTtlMs;
+    }
+
     function deleteOldLimits(): void {
         const removed = [...entries].filter(([, { removedAt }]) => removedAt !== undefined);
-        removed.filter(([, { removedAt }], index) =>
-            now() - removedAt! > removedLimitTtlMs || index < removed.length - maxRemovedLimits
-        ).forEach(([name]) => entries.delete(name));
+        removed.filter(([, entry], index) => hasExpired(entry) || index < removed.length - maxRemovedLimits)
+            .forEach(([name]) => entries.delete(name));
     }
 
     /** Returns whether the next digest carries the total of a limit; updates the sent total of one that has changed. */
@@ -180,18 +183,20 @@
                     entries.set(name, entry);
                 }
             }
+            deleteOldLimits();
         },
         restore(name) {
             const entry = entries.get(name);
-            if (entry !== undefined) {
-                entry.removedAt = undefined;
+            if (entry === undefined || hasExpired(entry)) {
+                entries.delete(name);
+                return undefined;
             }
-            return entry?.limit;
+            entry.removedAt = undefined;
+            return entry.limit;
         },
         tick() {
             detectPause();
             lastTickAt = now();
-            deleteOldLimits();
         },
         setContactShare(share) {
             if (share !== contactShare) {
--- a/packages/limits/src/shared-limit.ts
+++ b/packages/limits/src/shared-limit.ts
@@ -64,6 +64,7 @@
 
 /** Time in milliseconds after a pause within which all instances in contact have reported their totals. */
 const reportsDueMs = 1_200;
+
 /** Options of a limit. */
 export interface SharedLimitOptions {
     ratePerSecond: number;
