--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -13,6 +13,7 @@
 import { randomBytes } from "node:crypto";
 import { setMaxListeners } from "node:events";
 import { createServer } from "node:http";
+import type { Server as Listener } from "node:net";
 import { createCallerConnections } from "./caller-connections";
 import { createCallerServer } from "./caller-server";
 import { createConfigurationState } from "./configuration-state";
@@ -50,8 +51,15 @@
 /** Tokens by which another instance's total falls before a line is written; requests that have not run put single ones back. */
 const minLoggedFall = 3;
 
-/** Starts a gateway process; the promise rejects when a listener cannot be opened. */
-export async function startGateway(settings: GatewaySettings, platform: PlatformPort): Promise<Gateway> {
+/**
+ * Starts a gateway process; the promise rejects when a listener cannot be opened. `callersListener` is a listener that is already
+ * open at the address for callers.
+ */
+export async function startGateway(
+    settings: GatewaySettings,
+    platform: PlatformPort,
+    callersListener?: Listener,
+): Promise<Gateway> {
     const stopping = new AbortController();
     setMaxListeners(0, stopping.signal);
     const clock = createMonotonicClock();
@@ -217,9 +225,11 @@
     }
 
     log.lifecycle("starting", { incarnation, domain: settings.domain });
+    // First, and without a wait before it: connections that wait at an early listener must be accepted by this server. Until the
+    // streams run, which is after the start of the mesh, requests are refused for lack of a configuration.
+    await listen(callers.server, settings.callers, callersListener);
     await mesh.start();
     addSeeds();
-    await listen(callers.server, settings.callers);
     await listen(readiness, settings.readiness);
     await listen(peerServer, settings.peers);
     await listen(metricsServer, `${settings.address}:${settings.metrics.port}`);
