--- a/packages/gateway/src/rate-limits.ts
+++ b/packages/gateway/src/rate-limits.ts
@@ -46,6 +46,7 @@
             now: now(),
             contactShare: 1,
             lastContactAt: group.lastContactAt,
+            creditsFirstRefund: true,
         });
         group.add(name, added);
         log.stateChange("limit_added", { organisation: name, ratePerSecond, ...limitFields(added.state(now())) });
--- a/packages/limits/src/peer-totals.ts
+++ b/packages/limits/src/peer-totals.ts
@@ -48,9 +48,13 @@
 
 /**
  * Creates totals without any instance. `lastContactAt` returns the time of the last contact with an instance in milliseconds,
- * whether or not it reported this total: a total that is not reported has not changed.
+ * whether or not it reported this total: a total that is not reported has not changed. With `creditsFirstRefund`, an instance
+ * may return tokens in its first report: one that asks an owner for tokens admits none itself.
  */
-export function createPeerTotals(lastContactAt: (peer: string) => number): PeerTotals {
+export function createPeerTotals(
+    lastContactAt: (peer: string) => number,
+    { creditsFirstRefund = false }: { creditsFirstRefund?: boolean; } = {},
+): PeerTotals {
     const peers = new Map<string, Peer>();
     return {
         report(name, total, now, increment) {
@@ -58,7 +62,7 @@
             if (peer === undefined) {
                 // Earlier admissions were counted by the instances that received them, or have been refilled since.
                 peers.set(name, { total, reportedAt: now, rate: 0, assumed: 0 });
-                return { unaccounted: Math.max(0, increment), fallenBy: 0 };
+                return { unaccounted: creditsFirstRefund ? increment : Math.max(0, increment), fallenBy: 0 };
             }
             const delta = total - peer.total;
             // Reports may arrive together or out of order, so the time between two arrivals does not give the rate.
--- a/packages/limits/src/shared-limit.ts
+++ b/packages/limits/src/shared-limit.ts
@@ -82,6 +82,11 @@
      * @default the time of its last reported total
      */
     lastContactAt?(peer: string): number;
+    /**
+     * Whether the first report of an instance may return tokens that the limit's owner granted to it.
+     * @default false
+     */
+    creditsFirstRefund?: boolean;
 }
 
 /** Creates the limit of an organisation. */
@@ -94,7 +99,7 @@
     /** Tokens refilled during a pause that may have been admitted by other instances, and when all of these have reported. */
     let withheld = 0;
     let withheldUntil = -Infinity;
-    const peers = createPeerTotals(limit.lastContactAt ?? (() => -Infinity));
+    const peers = createPeerTotals(limit.lastContactAt ?? (() => -Infinity), limit);
 
     function refill(now: number): void {
         if (now >= withheldUntil) {
