--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -30,6 +30,7 @@
 import { createServiceStates } from "./service-states";
 import type { GatewaySettings, InvalidSettings } from "./settings";
 import { compareSettings } from "./settings-file";
+import { createStartupWait } from "./startup-wait";
 import { createStateSummary, stateSummaryIntervalMs } from "./state-summary";
 import { planStop, stopServing } from "./stop";
 import type { StopTimes } from "./stop";
@@ -172,6 +173,7 @@
             limitDecisions.updateContact(share);
         },
     });
+    const canServe = () => configuration.current() !== undefined && directory.size > 0;
     const flow = createRequestFlow({
         connections,
         pool,
@@ -182,6 +184,7 @@
         log,
         random,
         configuration: () => configuration.current(),
+        startupWait: createStartupWait({ now, canServe, sleep: ms => clock.sleep(ms), count: log.count }),
         rateLimits,
         limitDecisions,
         profiles,
@@ -196,7 +199,7 @@
             log.request(String(incoming.headers[platform.headers.requestId]), "ignored_behind_close", {});
         },
     });
-    const isReady = () => stopTimes === undefined && configuration.current() !== undefined && directory.size > 0;
+    const isReady = () => stopTimes === undefined && canServe();
     const readiness = createServer((incoming, outgoing) => {
         outgoing.writeHead(incoming.url === platform.readinessPath && isReady() ? 200 : 503).end();
     });
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -29,6 +29,7 @@
 import { breakOffResponse, sendResponse, streamResponse } from "./response-relay";
 import type { createRouteProfiles } from "./route-profile";
 import type { ServiceState } from "./service-states";
+import type { StartupWait } from "./startup-wait";
 import { canFinish } from "./stop";
 import type { StopTimes } from "./stop";
 
@@ -38,6 +39,8 @@
     directory: TargetDirectory;
     /** Returns the configuration in force; undefined before the first one. */
     configuration(): ConfigurationIndex | undefined;
+    /** Lets requests wait while this instance starts. */
+    startupWait: StartupWait;
     rateLimits: RateLimits;
     limitDecisions: Pick<LimitDecisions, "take">;
     profiles: ReturnType<typeof createRouteProfiles>;
@@ -102,10 +105,12 @@
         return closes;
     }
 
-    function admit(incoming: IncomingMessage): Result<AdmittedRequest, Refusal> {
+    function admit(
+        incoming: IncomingMessage,
+        request: CallerRequest,
+        arrivedAt: number,
+    ): Result<AdmittedRequest, Refusal> {
         return safeTry(function*() {
-            const arrivedAt = now();
-            const request = yield* readCallerRequest(incoming, headerNames);
             const index = parts.configuration();
             if (index === undefined) {
                 return err(refusal("no_configuration", 503, { retryAfterSeconds: configurationRetrySeconds }));
@@ -139,7 +144,7 @@
             const endAt = arrivedAt + Math.min(request.deadlineMs, route.timeoutMs) - responseMarginMs;
             const admitted = { request, route, organisation, service, version, arrivedAt, endAt };
             yield* admitLoad({
-                remainingMs: endAt - arrivedAt,
+                remainingMs: endAt - now(),
                 priority: organisation?.priority ?? route.priority,
                 typicalMs: parts.profiles.of(route).latency.meanMs(),
                 leastUsed: parts.targetTracker.leastUtilisation(service),
@@ -277,14 +282,25 @@
     }
 
     async function handle(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
-        const admission = admit(incoming);
-        if (admission.isErr()) {
+        const arrivedAt = now();
+        const read = readCallerRequest(incoming, headerNames);
+        if (read.isErr()) {
             const id = incoming.headers[headerNames.requestId];
-            refuse(incoming, outgoing, typeof id === "string" ? id : "", admission.error);
+            refuse(incoming, outgoing, typeof id === "string" ? id : "", read.error);
+            return;
+        }
+        const request = read.value;
+        const startup = parts.startupWait.until(request.deadlineMs);
+        if (startup !== undefined) {
+            await startup;
+        }
+        const admission = admit(incoming, request, arrivedAt);
+        if (admission.isErr()) {
+            refuse(incoming, outgoing, request.id, admission.error);
             return;
         }
         const admitted = admission.value;
-        const { request, route } = admitted;
+        const { route } = admitted;
         const token = await takeToken(admitted);
         if (token.isErr()) {
             refuse(incoming, outgoing, request.id, token.error);
