--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -17,6 +17,7 @@
 import { createCallerServer } from "./caller-server";
 import { createConfigurationState } from "./configuration-state";
 import { createCopyListener } from "./copy-server";
+import { createEvacuations } from "./evacuations";
 import { createLimitDecisions } from "./limit-decisions";
 import { createLimitSummary, limitSummaryIntervalMs } from "./limit-summary";
 import { listen } from "./listen";
@@ -103,6 +104,7 @@
     const metrics = createMetrics(log, limitGroup, now, {
         configuration_version: () => configuration.version(),
         targets: () => directory.size,
+        evacuated_domains: () => evacuations.inForce().size,
         contact_share: () => mesh.contactShare(),
         connections_opened: () => pool.openedCount,
         requests_running: () => connections.pendingCount,
@@ -117,6 +119,13 @@
             profiles.retain(routes);
         },
     });
+    const coldStartMsOf = (service: string) => configuration.current()?.services.get(service)?.coldStartMs ?? 0;
+    const evacuations = createEvacuations({
+        keyPrefix: platform.evacuationKeyPrefix,
+        log,
+        began: domain => directory.beginEvacuation(domain),
+        ended: domain => directory.endEvacuation(domain, coldStartMsOf),
+    });
     const streams = createStoreStreams({
         platform,
         settings,
@@ -124,6 +133,7 @@
         log,
         random,
         configuration,
+        evacuations,
         directory,
         mesh: () => mesh,
     });
--- a/packages/gateway/src/platform-port.ts
+++ b/packages/gateway/src/platform-port.ts
@@ -12,6 +12,8 @@
     readinessPath: string;
     /** Key of the operator's record in the configuration stream. */
     configurationKey: string;
+    /** Prefix of the keys of the operator's evacuation records in the configuration stream, before the name of the failure domain. */
+    evacuationKeyPrefix: string;
     decodeConfiguration(bytes: Buffer): Result<ServingConfiguration, Failure>;
     decodeTarget(id: string, bytes: Buffer): Result<TargetRecord, Failure>;
 }
--- a/packages/gateway/src/store-streams.ts
+++ b/packages/gateway/src/store-streams.ts
@@ -25,6 +25,7 @@
 import type { ConfigurationState } from "./configuration-state";
 import { createCopyClient } from "./copy-client";
 import type { StreamCopy } from "./copy-codec";
+import type { Evacuations } from "./evacuations";
 import { createPeerCopies } from "./peer-copies";
 import type { PeerCopies } from "./peer-copies";
 import type { PlatformPort } from "./platform-port";
@@ -63,6 +64,7 @@
     log: DecisionLog;
     random(): number;
     configuration: ConfigurationState;
+    evacuations: Pick<Evacuations, "apply" | "records">;
     directory: TargetDirectory;
     mesh(): Pick<Mesh, "peers" | "pushRecords" | "requestDigest">;
 }
@@ -78,7 +80,7 @@
 
 /** Creates the streams; nothing is read before they run. */
 export function createStoreStreams(parts: StoreStreamsParts): StoreStreams {
-    const { platform, settings, clock, log, configuration, directory } = parts;
+    const { platform, settings, clock, log, configuration, evacuations, directory } = parts;
     const selfAddress = `${settings.address}:${settings.meshPort}`;
     const targetRecords = createTargetRecords({ decode: platform.decodeTarget, log, directory });
     const outage = createStoreOutage({ now: clock.now(), log });
@@ -125,7 +127,11 @@
         ...followerOptions,
         stream: stream.configuration,
         pauseMs: configurationPauseMs,
-        apply: (records, _, source) => applyConfiguration(records, source),
+        apply(records, isSnapshot, source) {
+            // The end of an evacuation depends on the configuration of the services, which may be in the same records.
+            applyConfiguration(records, source);
+            evacuations.apply(records, isSnapshot, source);
+        },
         recordsRead: pushConfiguration,
         fetchMissing: fetchConfiguration,
     });
@@ -141,7 +147,9 @@
     function copyOf(name: Stream): StreamCopy {
         if (name === stream.configuration) {
             const record = configuration.record();
-            return { nextOffset: configurationFollower.nextOffset, records: record === undefined ? [] : [record] };
+            // The configuration comes last: a copy is encoded again when its last value changes.
+            const records = [...evacuations.records(), ...record === undefined ? [] : [record]];
+            return { nextOffset: configurationFollower.nextOffset, records };
         }
         return { nextOffset: targetsFollower.nextOffset, records: targetRecords.all() };
     }
@@ -155,6 +163,7 @@
         apply(name, copy, source) {
             if (name === stream.configuration) {
                 if (!configurationFollower.applyCopy(copy)) {
+                    // Evacuations have no version, so that those of a copy that is not ahead cannot be told from older ones.
                     applyConfiguration(copy.records, source);
                 }
                 return;
@@ -195,7 +204,9 @@
             if (configurationAgeMs >= 0) {
                 configurationFollower.confirmEnd(configurationOffset, clock.now() - configurationAgeMs);
             }
-            if (peer.configurationVersion > configuration.version()) {
+            // An evacuation raises the offset and not the version.
+            const isPeerAhead = configurationOffset > configurationFollower.nextOffset;
+            if (isPeerAhead || peer.configurationVersion > configuration.version()) {
                 catchUp(stream.configuration, configurationFollower, peer);
             }
             if (peer.targetsOffset > targetsFollower.nextOffset) {
--- a/packages/replication/src/target-directory.ts
+++ b/packages/replication/src/target-directory.ts
@@ -26,6 +26,13 @@
     markLeaving(target: Incarnation): void;
     /** Records that an incarnation accepts no requests from this instance for a time in milliseconds. */
     markThrottling(target: Incarnation, forMs: number): void;
+    /** Excludes the targets of a failure domain. */
+    beginEvacuation(domain: string): void;
+    /**
+     * Admits the targets of a failure domain again. They are cold for the time that `coldMsOf` returns for their service, in
+     * milliseconds, unless a record written after the evacuation states otherwise.
+     */
+    endEvacuation(domain: string, coldMsOf: (service: string) => number): void;
     get(id: string): ListedTarget | undefined;
     /** Returns the targets of a service that may receive requests now. */
     serving(service: string): readonly ListedTarget[];
@@ -44,6 +51,12 @@
 /** Maximum number of dropped targets that are kept; the oldest are evicted first. */
 const maxDropped = 4_096;
 
+/**
+ * Time in milliseconds after the end of an evacuation in which a record may arrive that was written before it: the streams of
+ * the configuration and of the targets are read independently of each other.
+ */
+const recordDelayMs = 2_000;
+
 /** Options of a directory. */
 export interface TargetDirectoryOptions {
     clock: Clock;
@@ -64,6 +77,9 @@
     const expiredAt = new Map<string, number>();
     /** Last records of dropped targets; a late copy of such a record must not restore the target. */
     const dropped = new Map<string, TargetRecord>();
+    const evacuated = new Set<string>();
+    /** Cold times that are assumed after an evacuation, in monotonic milliseconds, by target. */
+    const assumedCold = new Map<string, { startedAt: number; until: number; endedAt: number; }>();
     const reports = createIncarnationReports(() => clock.now());
     /** Available targets, throttling ones included; undefined after a change. */
     let availableByService: Map<string, ListedTarget[]> | undefined;
@@ -105,7 +121,7 @@
         const lists = new Map<string, ListedTarget[]>();
         for (const target of targets.values()) {
             const isReplaced = newest.get(`${target.address}:${target.port}`)!.startedAt > target.startedAt;
-            if (target.draining || reports.isLeaving(target) || isReplaced) {
+            if (target.draining || reports.isLeaving(target) || isReplaced || evacuated.has(target.domain)) {
                 continue;
             }
             const list = lists.get(target.service) ?? [];
@@ -121,9 +137,28 @@
         return availableByService.get(service) ?? [];
     }
 
+    /**
+     * Returns the time until which a target is cold by a record. A known record may arrive again, in a copy for example; its cold time
+     * counts from its first arrival.
+     */
+    function coldUntilOf(record: TargetRecord, known: ListedTarget | undefined): number {
+        const isKnown = known?.startedAt === record.startedAt && known.sequence === record.sequence;
+        const recorded = isKnown ? known.coldUntil : clock.now() + record.coldMs;
+        const assumed = assumedCold.get(record.id);
+        if (assumed === undefined || isKnown) {
+            return recorded;
+        }
+        if (assumed.startedAt === record.startedAt && clock.now() < assumed.endedAt + recordDelayMs) {
+            return Math.max(recorded, assumed.until);
+        }
+        assumedCold.delete(record.id);
+        return recorded;
+    }
+
     function remove(id: string, reason: string): void {
         const heldMs = Math.round(clock.now() - (expiredAt.get(id) ?? clock.now()));
         expiredAt.delete(id);
+        assumedCold.delete(id);
         const target = targets.get(id);
         if (target !== undefined) {
             targets.delete(id);
@@ -167,7 +202,7 @@
                 return false;
             }
             expiredAt.delete(record.id);
-            targets.set(record.id, { ...record, coldUntil: clock.now() + record.coldMs });
+            targets.set(record.id, { ...record, coldUntil: coldUntilOf(record, known) });
             if (known === undefined || known.draining !== record.draining || known.startedAt !== record.startedAt) {
                 const { id, service, draining, sequence, startedAt } = record;
                 log.stateChange("target_listed", { target: id, service, draining, sequence, startedAt });
@@ -200,6 +235,22 @@
             options.leaving(target.id);
             availableByService = undefined;
         },
+        beginEvacuation(domain) {
+            evacuated.add(domain);
+            availableByService = undefined;
+            [...targets.values()].filter(target => target.domain === domain).forEach(({ id }) => options.leaving(id));
+        },
+        endEvacuation(domain, coldMsOf) {
+            evacuated.delete(domain);
+            availableByService = undefined;
+            const endedAt = clock.now();
+            for (const target of [...targets.values()].filter(other => other.domain === domain)) {
+                const { id, service, startedAt } = target;
+                const until = Math.max(target.coldUntil, endedAt + coldMsOf(service));
+                targets.set(id, { ...target, coldUntil: until });
+                assumedCold.set(id, { startedAt, until, endedAt });
+            }
+        },
         get: id => targets.get(id),
         markThrottling(target, forMs) {
             const addedMs = reports.markThrottling(target, forMs);
@@ -215,11 +266,13 @@
         },
         isActive(id) {
             const target = targets.get(id);
-            return target !== undefined && !target.draining && !reports.isLeaving(target);
+            return target !== undefined && !target.draining && !reports.isLeaving(target)
+                && !evacuated.has(target.domain);
         },
         isServing(target) {
             const listed = targets.get(target.id);
-            const isCurrent = listed?.startedAt === target.startedAt && !listed.draining;
+            const isCurrent = listed?.startedAt === target.startedAt && !listed.draining
+                && !evacuated.has(listed.domain);
             return isCurrent && !reports.isLeaving(target) && reports.throttlingMs(target) === 0;
         },
         msUntilServing(service) {
--- a/packages/serving/src/configuration-index.ts
+++ b/packages/serving/src/configuration-index.ts
@@ -1,4 +1,4 @@
-import type { Organisation, Route, ServingConfiguration } from "./serving-configuration";
+import type { Organisation, Route, Service, ServingConfiguration } from "./serving-configuration";
 
 /** Lookups in one version of the configuration. */
 export interface ConfigurationIndex {
@@ -9,6 +9,8 @@
     findOrganisation(key: string): Organisation | undefined;
     /** Organisations by name. */
     organisations: ReadonlyMap<string, Organisation>;
+    /** Services by name. */
+    services: ReadonlyMap<string, Service>;
 }
 
 /** Returns every prefix of a path that ends with a slash, longest first. */
@@ -56,5 +58,6 @@
         },
         findOrganisation: key => byKey.get(key),
         organisations: new Map(configuration.organisations.map(organisation => [organisation.name, organisation])),
+        services: new Map(configuration.services.map(service => [service.name, service])),
     };
 }
--- a/packages/serving/src/serving-configuration.ts
+++ b/packages/serving/src/serving-configuration.ts
@@ -35,6 +35,10 @@
 export interface Service {
     name: string;
     maxConnections: number;
+    /** Time in milliseconds for which a target is assumed to be cold after its failure domain was evacuated; 0 when absent. */
+    coldStartMs?: number | undefined;
+    /** Requests per second that a cold target can handle; undefined without a bound. */
+    coldPerSecond?: number | undefined;
 }
 
 /** An organisation with its API keys and rate limit. */
--- a/test/gateway/fixtures.ts
+++ b/test/gateway/fixtures.ts
@@ -180,6 +180,7 @@
                 headers,
                 readinessPath: "/ready",
                 configurationKey: "current",
+                evacuationKeyPrefix: "evacuate/",
                 decodeConfiguration: bytes => ok(JSON.parse(bytes.toString()) as ServingConfiguration),
                 decodeTarget: (_, bytes) => ok(JSON.parse(bytes.toString()) as TargetRecord),
             }),
--- a/test/gateway/store-streams.test.ts
+++ b/test/gateway/store-streams.test.ts
@@ -6,6 +6,8 @@
 import { err, ok } from "neverthrow";
 import type { Result } from "neverthrow";
 import type { ConfigurationState } from "../../packages/gateway/src/configuration-state";
+import { decodeCopy, encodeCopy } from "../../packages/gateway/src/copy-codec";
+import { createEvacuations } from "../../packages/gateway/src/evacuations";
 import type { PlatformPort } from "../../packages/gateway/src/platform-port";
 import type { GatewaySettings } from "../../packages/gateway/src/settings";
 import { createStoreStreams } from "../../packages/gateway/src/store-streams";
@@ -27,6 +29,7 @@
 function createTargetsStore(isUnavailable: () => boolean) {
     const log: KeyedRecord[] = [];
     const waiting = new Set<() => void>();
+    let configurationReads = 0;
 
     function respond(name: Stream, from: number): Result<RecordBatch, StoreFailure> {
         if (isUnavailable()) {
@@ -42,6 +45,7 @@
     const store: RecordStore = {
         newest: async name => respond(name, -1),
         read(name, from, _, signal) {
+            configurationReads += name === stream.configuration ? 1 : 0;
             if (isUnavailable() || name === stream.targets && from < log.length) {
                 return Promise.resolve(respond(name, from));
             }
@@ -58,6 +62,7 @@
     return {
         store,
         length: () => log.length,
+        configurationReads: () => configurationReads,
         /** Completes the waiting reads. */
         wake() {
             waiting.forEach(wake => wake());
@@ -81,6 +86,12 @@
         targetsOffset: 0,
         storeOutageEndedAt: -Infinity,
     } as Peer));
+    const evacuations = createEvacuations({
+        keyPrefix: "evacuate/",
+        log,
+        began: domain => directory.beginEvacuation(domain),
+        ended: domain => directory.endEvacuation(domain, () => 0),
+    });
     const directory = createTestDirectory({ clock, log, expiryGraceUntil: () => streams.expiryGraceUntil() });
     const streams: StoreStreams = createStoreStreams({
         platform: {
@@ -95,6 +106,7 @@
         configuration: { version: () => 0, record: () => undefined } as Partial<
             ConfigurationState
         > as ConfigurationState,
+        evacuations,
         directory,
         mesh: () => ({ peers: () => peers, pushRecords: () => true, requestDigest: () => undefined }),
     });
@@ -102,14 +114,14 @@
     const done = streams.run(stopping.signal);
 
     /** Delivers digests of the peers: the store responds to them unless it is unavailable. */
-    function deliverDigests(): void {
+    function deliverDigests(configurationOffset = 0): void {
         for (const peer of peers) {
             peer.isStoreUnavailable = state.isUnavailable;
             peer.targetsOffset = targetsStore.length();
             const digest = {
                 targetsOffset: targetsStore.length(),
                 targetsAgeMs: state.isUnavailable ? -1 : 100,
-                configurationOffset: 0,
+                configurationOffset,
                 configurationAgeMs: state.isUnavailable ? -1 : 100,
             };
             streams.applyDigest(digest as Digest, peer);
@@ -117,6 +129,15 @@
     }
 
     return {
+        evacuated: () => [...evacuations.inForce()],
+        copiedKeys: () => decodeCopy(streams.copies.encodedCopyOf(stream.configuration))!.records.map(({ key }) => key),
+        /** Delivers a copy of the configuration that another instance has pushed. */
+        async receiveCopy(nextOffset: number, records: KeyedRecord[]) {
+            const bytes = encodeCopy({ nextOffset, records });
+            streams.copies.receive({ name: stream.configuration, bytes, sender: "10.1.0.2", forwardTo: [] });
+            await clock.advance(1);
+        },
+        configurationReads: () => targetsStore.configurationReads(),
         serving: () => directory.serving("dossier").map(({ id }) => id),
         /** Makes the store reject the calls of this instance only, or be unavailable to all instances. */
         setStoreState(change: Partial<typeof state>) {
@@ -130,9 +151,9 @@
             targetsStore.append(record);
             targetsStore.wake();
         },
-        async advance(ms: number) {
+        async advance(ms: number, configurationOffset?: number) {
             for (let passed = 0; passed < ms; passed += digestIntervalMs) {
-                deliverDigests();
+                deliverDigests(configurationOffset);
                 await clock.advance(digestIntervalMs);
             }
         },
@@ -192,3 +213,40 @@
         await instance.stop();
     });
 });
+
+describe("evacuations", () => {
+    const evacuation = { key: "evacuate/a", value: Buffer.from("{}") };
+
+    // Guards against an old copy, from an instance that is behind, that ends an evacuation or begins a revoked one.
+    test("change with copies that are ahead, and with no others", async () => {
+        const instance = await startWithTwoTargets();
+        await instance.receiveCopy(5, [evacuation]);
+        expect(instance.evacuated()).toEqual(["a"]);
+        expect(instance.serving()).toEqual([]);
+        await instance.receiveCopy(3, []);
+        expect(instance.evacuated()).toEqual(["a"]);
+        await instance.receiveCopy(6, []);
+        expect(instance.evacuated()).toEqual([]);
+        await instance.receiveCopy(5, [evacuation]);
+        expect(instance.evacuated()).toEqual([]);
+        await instance.stop();
+    });
+
+    // Guards against an instance that gets the configuration from another one without the evacuations in force.
+    test("are part of the copies for other instances", async () => {
+        const instance = await startWithTwoTargets();
+        await instance.receiveCopy(5, [evacuation]);
+        expect(instance.copiedKeys()).toEqual(["evacuate/a"]);
+        await instance.stop();
+    });
+
+    // Guards against an evacuation that reaches an instance only when its silent read of the store times out: an evacuation does not
+    // change the version by which an instance notices that another one is ahead.
+    test("replace a silent read when another instance has read further", async () => {
+        const instance = await startWithTwoTargets();
+        const before = instance.configurationReads();
+        await instance.advance(2_000, 1);
+        expect(instance.configurationReads()).toBeGreaterThan(before);
+        await instance.stop();
+    });
+});
--- a/test/replication/target-directory.test.ts
+++ b/test/replication/target-directory.test.ts
@@ -142,3 +142,59 @@
         expect(serving()).toEqual([]);
     });
 });
+
+describe("an evacuated failure domain", () => {
+    const coldMsOf = () => 9_000;
+
+    // Guards against requests to an evacuated target through any question that the request path asks the directory.
+    test("has no target that may receive requests, targets listed during the evacuation included", () => {
+        const { directory, left, serving } = createDirectory();
+        directory.put(targetRecord(0, 80));
+        directory.put(targetRecord(1, 81, { domain: "b" }));
+        directory.beginEvacuation("b");
+        directory.put(targetRecord(2, 82, { domain: "b" }));
+        expect(serving()).toEqual(["target-0"]);
+        expect(left).toEqual(["target-1"]);
+        for (const id of ["target-1", "target-2"]) {
+            expect(directory.isActive(id)).toBe(false);
+            expect(directory.isServing(directory.get(id)!)).toBe(false);
+        }
+        directory.beginEvacuation("a");
+        expect(directory.msUntilServing("dossier")).toBeUndefined();
+        directory.endEvacuation("b", coldMsOf);
+        expect(serving()).toEqual(["target-1", "target-2"]);
+    });
+
+    // Guards against the usual load on targets that nothing was sent to for a while.
+    test("has cold targets after its evacuation, unless a later record says that they are warm", async () => {
+        const { clock, directory } = createDirectory();
+        const coldMs = () => directory.get("target-0")!.coldUntil - clock.now();
+        directory.put(targetRecord(0, 80));
+        directory.beginEvacuation("a");
+        await clock.advance(5_000);
+        directory.endEvacuation("a", coldMsOf);
+        expect(coldMs()).toBe(9_000);
+        await clock.advance(1_000);
+        // These records may have been written before the end of the evacuation.
+        directory.put(targetRecord(0, 80));
+        directory.put(targetRecord(0, 80, { sequence: 2 }));
+        expect(coldMs()).toBe(8_000);
+        await clock.advance(2_000);
+        directory.put(targetRecord(0, 80, { sequence: 3 }));
+        expect(coldMs()).toBeLessThanOrEqual(0);
+    });
+});
+
+describe("a cold target", () => {
+    // Guards against cold times that begin again with each copy of the same record.
+    test("is cold from the first arrival of its record, and from the start of a new incarnation", async () => {
+        const { clock, directory } = createDirectory();
+        const coldMs = () => directory.get("target-0")!.coldUntil - clock.now();
+        directory.put(targetRecord(0, 80, { coldMs: 4_000 }));
+        await clock.advance(1_000);
+        directory.put(targetRecord(0, 80, { coldMs: 4_000 }));
+        expect(coldMs()).toBe(3_000);
+        directory.put(targetRecord(0, 80, { coldMs: 8_000, startedAt: 5_000 }));
+        expect(coldMs()).toBe(8_000);
+    });
+});
--- a/test/users-platform/codecs.test.ts
+++ b/test/users-platform/codecs.test.ts
@@ -52,6 +52,20 @@
         expect(decoded.limits).toEqual({ maxHeaderBytes: 1, maxBodyBytes: 2, headerTimeoutMs: 3, idleTimeoutMs: 4 });
     });
 
+    // Guards against a bound on cold targets that is lost on the way, and against one in other services.
+    test("decodes the cold start of services, which is absent by default", () => {
+        const decoded = decodeConfiguration(document([
+            resource("Services", "s", { ColdStartS: 45, ColdPerS: 4.7 }),
+            resource("Services", "t", { ColdStartS: null, ColdPerS: 0 }),
+            resource("Services", "u", {}),
+        ]))._unsafeUnwrap();
+        expect(decoded.services).toMatchObject([{ coldStartMs: 45_000, coldPerSecond: 4.7 }, {}, {}]);
+        for (const service of decoded.services.slice(1)) {
+            expect(service).toMatchObject({ coldStartMs: 0, coldPerSecond: undefined });
+        }
+        expect(decodeConfiguration(document([resource("Services", "s", { ColdPerS: "4" })])).isErr()).toBe(true);
+    });
+
     test.each([["no JSON", Buffer.from("{")], ["an array", Buffer.from("[]")], ["no version", document([], "12")]])(
         "is rejected with %s",
         (_, bytes) => {
