--- a/packages/gateway/src/attempt-run.ts
+++ b/packages/gateway/src/attempt-run.ts
@@ -19,6 +19,7 @@
 import type { OutgoingRequest } from "@trefoilladder/upstream";
 import { startAttempt } from "./attempt";
 import type { Attempt, AttemptParts, AttemptResult } from "./attempt";
+import type { TargetEligibility } from "./target-eligibility";
 
 /** How the attempts of a request ended. */
 export type RunResult =
@@ -58,6 +59,8 @@
     /** Size in kilobytes of the request's body and of a typical response. */
     transferKb: number;
     retryBudget: RetryBudget;
+    /** @default all available targets are eligible */
+    eligibility?: Pick<TargetEligibility, "allows" | "recordChoice">;
     bodyBuffered: boolean;
     /** Monotonic time in milliseconds at which the run ends. */
     endAt: number;
@@ -123,7 +126,8 @@
     }
 
     function startNextAttempt(): boolean {
-        const candidates = parts.targetTracker.candidates(options.service, excluded);
+        const candidates = parts.targetTracker.candidates(options.service, excluded)
+            .filter(({ target }) => options.eligibility?.allows(target) ?? true);
         const canRetry = route.idempotent && options.bodyBuffered && arrivals + 1 < route.maxAttempts
             && retryBudget.hasTokens();
         const mayProbe = canRetry && arrivals === 0 && retryBudget.hasTokens(probeReserveShare);
@@ -140,6 +144,7 @@
             utilisation: round(chosen.utilisation),
         };
         excluded.add(target.id);
+        options.eligibility?.recordChoice(target);
         const attempt: Attempt = startAttempt(parts, {
             target,
             request: options.requestFor(target),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,7 +3,7 @@
  */
 
 import { createMonotonicClock } from "@trefoilladder/clock";
-import { createLimitGroup } from "@trefoilladder/limits";
+import { createColdShares, createLimitGroup } from "@trefoilladder/limits";
 import { createMesh, splitAddress } from "@trefoilladder/mesh";
 import type { Digest, Peer } from "@trefoilladder/mesh";
 import { createTargetDirectory } from "@trefoilladder/replication";
@@ -34,6 +34,7 @@
 import { planStop, stopServing } from "./stop";
 import type { StopTimes } from "./stop";
 import { createStoreStreams } from "./store-streams";
+import { createEligibility } from "./target-eligibility";
 import { createTargetTracker } from "./target-tracker";
 
 /** A running gateway process. */
@@ -104,6 +105,7 @@
     const metrics = createMetrics(log, limitGroup, now, {
         configuration_version: () => configuration.version(),
         targets: () => directory.size,
+        cold_targets: () => directory.coldCount(),
         evacuated_domains: () => evacuations.inForce().size,
         contact_share: () => mesh.contactShare(),
         connections_opened: () => pool.openedCount,
@@ -174,11 +176,25 @@
             limitDecisions.updateContact(share);
         },
     });
+    const eligibilityOf = createEligibility({
+        regions: settings.regions ?? {},
+        coldShares: createColdShares({
+            self: () => mesh.self,
+            now,
+            runningSince: limitDecisions.runningSince,
+            candidates: limitDecisions.candidates,
+            contactShare: () => mesh.contactShare(),
+        }),
+        service: name => configuration.current()?.services.get(name),
+        now,
+        log,
+    });
     const flow = createRequestFlow({
         connections,
         pool,
         targetTracker,
         directory,
+        eligibilityOf,
         headerNames: platform.headers,
         now,
         log,
--- a/packages/gateway/src/limit-decisions.ts
+++ b/packages/gateway/src/limit-decisions.ts
@@ -22,6 +22,8 @@
     updateContact(share: number): void;
     /** Returns the monotonic time in milliseconds since which this instance runs without a pause. */
     runningSince(): number;
+    /** Returns this instance and those in contact. */
+    candidates(): OwnerCandidate[];
 }
 
 /** Dependencies of the decisions. */
@@ -110,6 +112,7 @@
     return {
         answer: owner.answer,
         runningSince,
+        candidates,
         receive: client.receive,
         take: (name, maxWaitMs) =>
             new Promise(resolve => {
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -31,11 +31,13 @@
 import type { ServiceState } from "./service-states";
 import { canFinish } from "./stop";
 import type { StopTimes } from "./stop";
+import type { createEligibility, TargetEligibility } from "./target-eligibility";
 
 /** Dependencies of the request path. */
 export interface FlowParts extends RunParts {
     connections: Pick<CallerConnections, "hasLaterRequest" | "acceptNoneAfter">;
     directory: TargetDirectory;
+    eligibilityOf: ReturnType<typeof createEligibility>;
     /** Returns the configuration in force; undefined before the first one. */
     configuration(): ConfigurationIndex | undefined;
     rateLimits: RateLimits;
@@ -53,6 +55,7 @@
     route: Route;
     organisation: Organisation | undefined;
     service: string;
+    eligibility: TargetEligibility;
     version: number;
     /** Monotonic times in milliseconds. */
     arrivedAt: number;
@@ -137,20 +140,28 @@
             yield* admitDuringStop(parts.profiles.of(route).latency.meanMs());
             const service = chooseService(route);
             const endAt = arrivedAt + Math.min(request.deadlineMs, route.timeoutMs) - responseMarginMs;
-            const admitted = { request, route, organisation, service, version, arrivedAt, endAt };
+            const eligibility = parts.eligibilityOf(route, organisation);
+            const admitted = { request, route, organisation, service, eligibility, version, arrivedAt, endAt };
             yield* admitLoad({
                 remainingMs: endAt - arrivedAt,
                 priority: organisation?.priority ?? route.priority,
                 typicalMs: parts.profiles.of(route).latency.meanMs(),
-                leastUsed: parts.targetTracker.leastUtilisation(service),
+                leastUsed: parts.targetTracker.leastUtilisation(service, eligibility.allows),
                 refusedShare: parts.serviceState(service).refusedShare(),
-                msUntilServing: () => parts.directory.msUntilServing(service),
+                msUntilServing: () => parts.directory.msUntilServing(service, eligibility.isInRegion),
                 random: parts.random,
-            });
+            }).mapErr(refused => withTargetCounts(refused, service, eligibility));
             return ok(admitted);
         });
     }
 
+    /** Adds to a refusal for lack of a target why the available ones may not receive the request. */
+    function withTargetCounts(refused: Refusal, service: string, eligibility: TargetEligibility): Refusal {
+        return refused.code === "no_target"
+            ? { ...refused, inputs: { ...refused.inputs, ...eligibility.describe(parts.directory.serving(service)) } }
+            : refused;
+    }
+
     /** Refuses a request that the planned stop would interrupt; other instances can serve it at once. */
     function admitDuringStop(typicalMs: number | undefined): Result<void, Refusal> {
         const times = parts.stopTimes();
@@ -313,6 +324,7 @@
             transferKb: requestKb(request, body) + profile.responseKb(),
             typicalMs: profile.latency.meanMs(),
             retryBudget: state.retryBudget,
+            eligibility: admitted.eligibility,
             bodyBuffered: body.buffered !== undefined,
             endAt: admitted.endAt,
             lateAfterMs: profile.latency.lateAfterMs(route.latencyObjectiveMs),
@@ -372,7 +384,10 @@
         if (result.notRun) {
             const waitSeconds = Math.max(
                 retryAfterSeconds(state.refusedShare(), parts.random),
-                retryAfterKnownWaitSeconds(parts.directory.msUntilServing(admitted.service) ?? 0, parts.random),
+                retryAfterKnownWaitSeconds(
+                    parts.directory.msUntilServing(admitted.service, admitted.eligibility.isInRegion) ?? 0,
+                    parts.random,
+                ),
             );
             return refusal(result.end === "not_run" ? "shed" : "unreachable", 503, {
                 retryAfterSeconds: waitSeconds,
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -7,6 +7,8 @@
 export interface GatewaySettings {
     instance: string;
     domain: string;
+    /** Regions by failure domain. Restrictions to regions allow no target in a domain that is absent here. */
+    regions?: Readonly<Record<string, string>> | null;
     /** IP address of this instance. */
     address: string;
     /** Addresses with ports of the listeners for callers, for the load balancer's readiness checks and for other instances. */
@@ -44,10 +46,16 @@
 const isPort: Check = value => Number.isInteger(value) && (value as number) > 0 && (value as number) < 65_536;
 const isLevel: Check = value => ["debug", "info", "warn", "error"].includes(value as string);
 
+/** Accepts a table of strings; the setting may be absent, as in the files of earlier versions. */
+const isOptionalTable: Check = value =>
+    value === undefined || value === null
+    || typeof value === "object" && !Array.isArray(value) && Object.values(value).every(isNonEmptyString);
+
 /** Expected type of each setting, by its path. */
 const checks: Record<string, { check: Check; expected: string; }> = {
     "instance": { check: isNonEmptyString, expected: "a non-empty string" },
     "domain": { check: isNonEmptyString, expected: "a non-empty string" },
+    "regions": { check: isOptionalTable, expected: "an object with the region of each failure domain" },
     "address": { check: isNonEmptyString, expected: "an IP address" },
     "callers": { check: isAddress, expected: "an IP address and a port" },
     "readiness": { check: isAddress, expected: "an IP address and a port" },
--- a/packages/gateway/src/target-tracker.ts
+++ b/packages/gateway/src/target-tracker.ts
@@ -31,8 +31,11 @@
 export interface TargetTracker {
     /** Returns the targets of a service that a request can be sent to, without the excluded ids. */
     candidates(service: string, excluded: ReadonlySet<string>): TargetCandidate[];
-    /** Returns the estimated utilisation of the least used target of a service; undefined without a target. */
-    leastUtilisation(service: string): number | undefined;
+    /**
+     * Returns the estimated utilisation of the least used target of a service that `allows` returns true for; undefined without a
+     * target.
+     */
+    leastUtilisation(service: string, allows?: (target: ListedTarget) => boolean): number | undefined;
     begin(target: string): void;
     end(target: string): void;
     /** Returns the estimated utilisation of a target: its requests divided by its slots. */
@@ -204,9 +207,9 @@
                 .filter(target => !excluded.has(target.id))
                 .map(target => candidateOf(target, at));
         },
-        leastUtilisation(service) {
+        leastUtilisation(service, allows = () => true) {
             const at = now();
-            const utilisations = usableTargets(service).map(target => utilisationOf(target, at));
+            const utilisations = usableTargets(service).filter(allows).map(target => utilisationOf(target, at));
             return utilisations.length === 0 ? undefined : Math.min(...utilisations);
         },
         begin(target) {
--- a/packages/limits/src/index.ts
+++ b/packages/limits/src/index.ts
@@ -1,3 +1,5 @@
+export { createColdShares } from "./cold-shares";
+export type { ColdShareOptions, ColdShares } from "./cold-shares";
 export { createLimitGroup } from "./limit-group";
 export type { LimitGroup, NamedTotal } from "./limit-group";
 export { rankOwners, startedTogether } from "./limit-ownership";
--- a/packages/limits/src/limit-group.ts
+++ b/packages/limits/src/limit-group.ts
@@ -204,7 +204,10 @@
                 entries.forEach(({ limit }) => limit.setContactShare(share, now()));
             }
         },
-        pausedAt: () => lastPauseAt,
+        pausedAt() {
+            detectPause();
+            return lastPauseAt;
+        },
         recordSuspension() {
             lastPauseAt = now();
             entries.forEach(({ limit }) => limit.restart(now(), 0));
--- a/packages/replication/src/target-directory.ts
+++ b/packages/replication/src/target-directory.ts
@@ -42,10 +42,12 @@
     isServing(target: Incarnation): boolean;
     /**
      * Returns the time in milliseconds until a target of a service accepts requests again: 0 when one may receive requests now,
-     * undefined when the service has no available target.
+     * undefined when the service has no available target. Only targets that `allows` returns true for count.
      */
-    msUntilServing(service: string): number | undefined;
+    msUntilServing(service: string, allows?: (target: ListedTarget) => boolean): number | undefined;
     readonly size: number;
+    /** Returns the number of targets that are cold now. */
+    coldCount(): number;
 }
 
 /** Maximum number of dropped targets that are kept; the oldest are evicted first. */
@@ -202,7 +204,11 @@
                 return false;
             }
             expiredAt.delete(record.id);
-            targets.set(record.id, { ...record, coldUntil: coldUntilOf(record, known) });
+            const coldUntil = coldUntilOf(record, known);
+            if (coldUntil > clock.now() && !(known !== undefined && known.coldUntil > clock.now())) {
+                log.stateChange("target_cold", { target: record.id, forMs: Math.round(coldUntil - clock.now()) });
+            }
+            targets.set(record.id, { ...record, coldUntil });
             if (known === undefined || known.draining !== record.draining || known.startedAt !== record.startedAt) {
                 const { id, service, draining, sequence, startedAt } = record;
                 log.stateChange("target_listed", { target: id, service, draining, sequence, startedAt });
@@ -275,14 +281,15 @@
                 && !evacuated.has(listed.domain);
             return isCurrent && !reports.isLeaving(target) && reports.throttlingMs(target) === 0;
         },
-        msUntilServing(service) {
-            const waits = availableTargets(service).map(reports.throttlingMs);
+        msUntilServing(service, allows = () => true) {
+            const waits = availableTargets(service).filter(allows).map(reports.throttlingMs);
             return waits.length === 0 ? undefined : Math.min(...waits);
         },
         serving(service) {
             const listed = availableTargets(service);
             return reports.isAnyThrottling() ? listed.filter(target => reports.throttlingMs(target) === 0) : listed;
         },
+        coldCount: () => [...targets.values()].filter(({ coldUntil }) => clock.now() < coldUntil).length,
         get size() {
             return targets.size;
         },
--- a/packages/serving/src/serving-configuration.ts
+++ b/packages/serving/src/serving-configuration.ts
@@ -29,6 +29,8 @@
     maxAttempts: number;
     /** Whether the route accepts callers without a key. */
     allowsAnonymous: boolean;
+    /** Regions whose targets the requests may reach; undefined without a restriction. */
+    allowedRegions?: readonly string[] | undefined;
 }
 
 /** A service behind routes. */
@@ -50,6 +52,8 @@
     /** Fleet-wide limit in requests per second; 0 means no limit. */
     ratePerSecond: number;
     burst: number;
+    /** Regions whose targets the requests may reach; undefined without a restriction. */
+    allowedRegions?: readonly string[] | undefined;
 }
 
 /** Size limits and timeouts of callers' requests. */
--- a/test/gateway/settings-file.test.ts
+++ b/test/gateway/settings-file.test.ts
@@ -1,5 +1,5 @@
 import type { GatewaySettings, InvalidSettings } from "@trefoilladder/gateway";
-import { watchSettingsFile } from "@trefoilladder/gateway";
+import { checkSettings, watchSettingsFile } from "@trefoilladder/gateway";
 import type { Result } from "neverthrow";
 import { mkdtempSync, rmSync, utimesSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
@@ -27,6 +27,17 @@
     };
 }
 
+// Guards against a process that does not start with the settings file of an earlier version, or with a malformed table.
+test.each([
+    ["an absent table", undefined, true],
+    ["a table that the platform leaves empty", null, true],
+    ["a table", { a: "west" }, true],
+    ["a list", ["west"], false],
+    ["a region that is not a name", { a: 1 }, false],
+])("settings with %s of regions are checked", (_, regions, isValid) => {
+    expect(checkSettings({ ...settings(), regions }).isOk()).toBe(isValid);
+});
+
 describe("newer settings", () => {
     test("are applied where a running process can, and otherwise need a restart", () => {
         const change = compareSettings(
--- a/test/limits/fleet-simulation.ts
+++ b/test/limits/fleet-simulation.ts
@@ -3,13 +3,14 @@
  */
 
 import {
+    createColdShares,
     createLimitGroup,
     createTokenClient,
     createTokenOwner,
     rankOwners,
     startedTogether,
 } from "@trefoilladder/limits";
-import type { OwnerCandidate, TokenClient, TokenOwner } from "@trefoilladder/limits";
+import type { ColdShares, OwnerCandidate, TokenClient, TokenOwner } from "@trefoilladder/limits";
 import { createRateLimits } from "../../packages/gateway/src/rate-limits";
 import type { RateLimits } from "../../packages/gateway/src/rate-limits";
 import { createPeers } from "../../packages/mesh/src/peers";
@@ -51,14 +52,26 @@
     /** Share of the digests that are lost, for each receiver. */
     lossShare?: number;
     events?: readonly FleetEvent[];
+    /** Targets that are cold; all instances send them as many requests as they may. */
+    coldTargets?: ColdTargets;
     durationMs?: number;
 }
 
+/** Targets that are cold from a moment on. */
+export interface ColdTargets {
+    ids: readonly string[];
+    /** Requests per second that each of them handles. */
+    perSecond: number;
+    fromMs: number;
+}
+
 /** Times in milliseconds of the requests of the organisation. */
 export interface FleetRun {
     admitted: number[];
     /** Requests at instances that had nothing else to reject them for. */
     rejected: number[];
+    /** Times of the requests to each cold target. */
+    sentToCold: Map<string, number[]>;
 }
 
 interface Process {
@@ -66,6 +79,7 @@
     group: ReturnType<typeof createLimitGroup>;
     owner: TokenOwner;
     client: TokenClient;
+    coldShares: ColdShares;
     peers: Peers;
     incarnation: number;
     startedAt: number;
@@ -116,7 +130,7 @@
     const { plan, lossShare = 0 } = scenario;
     const organisation = { name: organisationName, keys: [], priority: undefined, ...plan };
     let now = 0;
-    const run: FleetRun = { admitted: [], rejected: [] };
+    const run: FleetRun = { admitted: [], rejected: [], sentToCold: new Map() };
     const deliveries = new Map<number, Delivery[]>();
     const instances = Array.from({ length: scenario.instances }, (_, index): Instance => ({
         index,
@@ -163,7 +177,24 @@
             },
             count: () => undefined,
         });
-        instance.process = { limits, group, owner, client, peers, incarnation, startedAt, digestSentAt: -Infinity };
+        const coldShares = createColdShares({
+            self: () => instance.address,
+            now: () => now,
+            runningSince: () => runningSince({ startedAt, group }),
+            candidates: () => candidates(instance.address, runningSince({ startedAt, group }), peers),
+            contactShare: () => peers.contactShare(now),
+        });
+        instance.process = {
+            limits,
+            group,
+            owner,
+            client,
+            coldShares,
+            peers,
+            incarnation,
+            startedAt,
+            digestSentAt: -Infinity,
+        };
     }
 
     /** Returns the instances that may own limits, as one instance knows them. */
@@ -283,6 +314,15 @@
         });
     }
 
+    function sendToColdTargets({ coldShares }: Process, { ids, perSecond, fromMs }: ColdTargets): void {
+        for (const id of now < fromMs ? [] : ids) {
+            while (coldShares.mayTake(id, perSecond)) {
+                coldShares.take(id, perSecond);
+                run.sentToCold.set(id, [...run.sentToCold.get(id) ?? [], now]);
+            }
+        }
+    }
+
     const eventHandlers: Record<EventKind, (instance: Instance, untilMs: number) => void> = {
         restart(instance, untilMs) {
             instance.process = undefined;
@@ -335,6 +375,9 @@
             for (; instance.queuedRequests > 0; instance.queuedRequests -= 1) {
                 request(instance);
             }
+            if (scenario.coldTargets !== undefined) {
+                sendToColdTargets(process, scenario.coldTargets);
+            }
             instance.queuedDigests.splice(0).forEach(receive => receive());
             if ((now + instance.index * stepMs) % tickMs === 0) {
                 tick(instance, process);
@@ -353,10 +396,10 @@
 const windowMs = 5_000;
 
 /** Returns the maximum number of times within one window. */
-export function maxInWindow(times: readonly number[]): number {
+export function maxInWindow(times: readonly number[], lengthMs = windowMs): number {
     let max = 0;
     for (let first = 0, last = 0; last < times.length; last++) {
-        while (times[last]! - times[first]! >= windowMs) {
+        while (times[last]! - times[first]! >= lengthMs) {
             first += 1;
         }
         max = Math.max(max, last - first + 1);
--- a/test/users-platform/codecs.test.ts
+++ b/test/users-platform/codecs.test.ts
@@ -66,6 +66,22 @@
         expect(decodeConfiguration(document([resource("Services", "s", { ColdPerS: "4" })])).isErr()).toBe(true);
     });
 
+    // Guards against a restriction to regions that is lost on the way, and against one that nobody ordered.
+    test("decodes the allowed regions of routes and organisations", () => {
+        const regions = { AllowedRegions: ["west", "east"] };
+        const decoded = decodeConfiguration(document([
+            resource("Routes", "r", { ...routeSpec, ...regions }),
+            resource("Routes", "q", { ...routeSpec, AllowedRegions: null }),
+            resource("Tenants", "o", regions),
+            resource("Tenants", "p", { AllowedRegions: [] }),
+        ]))._unsafeUnwrap();
+        expect(decoded.routes.map(({ allowedRegions }) => allowedRegions)).toEqual([["west", "east"], undefined]);
+        expect(decoded.organisations.map(({ allowedRegions }) => allowedRegions)).toEqual([["west", "east"], []]);
+        expect(decodeConfiguration(document([resource("Tenants", "o", { AllowedRegions: "west" })])).isErr()).toBe(
+            true,
+        );
+    });
+
     test.each([["no JSON", Buffer.from("{")], ["an array", Buffer.from("[]")], ["no version", document([], "12")]])(
         "is rejected with %s",
         (_, bytes) => {
