--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,7 +3,7 @@
  */
 
 import { createMonotonicClock } from "@trefoilladder/clock";
-import { createLimitGroup } from "@trefoilladder/limits";
+import { createColdShares, createLimitGroup } from "@trefoilladder/limits";
 import { createMesh, splitAddress } from "@trefoilladder/mesh";
 import type { Digest, Peer } from "@trefoilladder/mesh";
 import { createTargetDirectory } from "@trefoilladder/replication";
@@ -18,6 +18,7 @@
 import { createCallerServer } from "./caller-server";
 import { createConfigurationState } from "./configuration-state";
 import { createCopyListener } from "./copy-server";
+import { createEvacuations } from "./evacuations";
 import { createLimitDecisions } from "./limit-decisions";
 import { createLimitSummary, limitSummaryIntervalMs } from "./limit-summary";
 import { listen } from "./listen";
@@ -35,6 +36,7 @@
 import { planStop, stopServing } from "./stop";
 import type { StopTimes } from "./stop";
 import { createStoreStreams } from "./store-streams";
+import { createEligibility } from "./target-eligibility";
 import { createTargetTracker } from "./target-tracker";
 
 /** A running gateway process. */
@@ -112,6 +114,8 @@
     const metrics = createMetrics(log, limitGroup, now, {
         configuration_version: () => configuration.version(),
         targets: () => directory.size,
+        cold_targets: () => directory.coldCount(),
+        evacuated_domains: () => evacuations.inForce().size,
         contact_share: () => mesh.contactShare(),
         connections_opened: () => pool.openedCount,
         requests_running: () => connections.pendingCount,
@@ -126,6 +130,13 @@
             profiles.retain(routes);
         },
     });
+    const coldStartMsOf = (service: string) => configuration.current()?.services.get(service)?.coldStartMs ?? 0;
+    const evacuations = createEvacuations({
+        keyPrefix: platform.evacuationKeyPrefix,
+        log,
+        began: domain => directory.beginEvacuation(domain),
+        ended: domain => directory.endEvacuation(domain, coldStartMsOf),
+    });
     const streams = createStoreStreams({
         platform,
         settings,
@@ -133,6 +144,7 @@
         log,
         random,
         configuration,
+        evacuations,
         directory,
         mesh: () => mesh,
     });
@@ -174,11 +186,25 @@
         },
     });
     const canServe = () => configuration.current() !== undefined && directory.size > 0;
+    const eligibilityOf = createEligibility({
+        regions: settings.regions ?? {},
+        coldShares: createColdShares({
+            self: () => mesh.self,
+            now,
+            runningSince: limitDecisions.runningSince,
+            candidates: limitDecisions.candidates,
+            contactShare: () => mesh.contactShare(),
+        }),
+        service: name => configuration.current()?.services.get(name),
+        now,
+        log,
+    });
     const flow = createRequestFlow({
         connections,
         pool,
         targetTracker,
         directory,
+        eligibilityOf,
         headerNames: platform.headers,
         now,
         log,
--- a/packages/serving/src/serving-configuration.ts
+++ b/packages/serving/src/serving-configuration.ts
@@ -29,12 +29,18 @@
     maxAttempts: number;
     /** Whether the route accepts callers without a key. */
     allowsAnonymous: boolean;
+    /** Regions whose targets the requests may reach; undefined without a restriction. */
+    allowedRegions?: readonly string[] | undefined;
 }
 
 /** A service behind routes. */
 export interface Service {
     name: string;
     maxConnections: number;
+    /** Time in milliseconds for which a target is assumed to be cold after its failure domain was evacuated; 0 when absent. */
+    coldStartMs?: number | undefined;
+    /** Requests per second that a cold target can handle; undefined without a bound. */
+    coldPerSecond?: number | undefined;
 }
 
 /** An organisation with its API keys and rate limit. */
@@ -46,6 +52,8 @@
     /** Fleet-wide limit in requests per second; 0 means no limit. */
     ratePerSecond: number;
     burst: number;
+    /** Regions whose targets the requests may reach; undefined without a restriction. */
+    allowedRegions?: readonly string[] | undefined;
 }
 
 /** Size limits and timeouts of callers' requests. */
