--- a/packages/gateway/src/attempt-run.ts
+++ b/packages/gateway/src/attempt-run.ts
@@ -123,7 +123,8 @@
     }
 
     function startNextAttempt(): boolean {
-        const candidates = parts.targetTracker.candidates(options.service, excluded);
+        const maxIdleMs = route.idempotent ? idempotentMaxIdleMs : nonIdempotentMaxIdleMs;
+        const candidates = parts.targetTracker.candidates(options.service, excluded, maxIdleMs);
         const canRetry = route.idempotent && options.bodyBuffered && arrivals + 1 < route.maxAttempts
             && retryBudget.hasTokens();
         const mayProbe = canRetry && arrivals === 0 && retryBudget.hasTokens(probeReserveShare);
@@ -143,7 +144,7 @@
         const attempt: Attempt = startAttempt(parts, {
             target,
             request: options.requestFor(target),
-            maxIdleMs: route.idempotent ? idempotentMaxIdleMs : nonIdempotentMaxIdleMs,
+            maxIdleMs,
             typicalMs: options.typicalMs,
             maxBufferedBytes: options.maxBufferedBytes,
             sent() {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -33,6 +33,7 @@
 import { planStop, stopServing } from "./stop";
 import type { StopTimes } from "./stop";
 import { createStoreStreams } from "./store-streams";
+import { createTargetSets } from "./target-sets";
 import { createTargetTracker } from "./target-tracker";
 
 /** A running gateway process. */
@@ -84,6 +85,12 @@
         domain: settings.domain,
         now,
         log,
+        targetSets: createTargetSets({
+            self: () => ({ id: mesh.self, domain: settings.domain }),
+            peers: () => mesh.peers().map(({ address, domain }) => ({ id: address, domain })),
+            hasIdleConnection: pool.hasIdle,
+            now,
+        }),
         onUrgentChange: () => mesh.requestDigest(),
     });
     const limitGroup = createLimitGroup({
--- a/packages/gateway/src/target-tracker.ts
+++ b/packages/gateway/src/target-tracker.ts
@@ -21,6 +21,7 @@
 } from "@trefoilladder/placement";
 import type { ListedTarget, TargetDirectory } from "@trefoilladder/replication";
 import type { DecisionLog } from "@trefoilladder/telemetry";
+import type { TargetSets } from "./target-sets";
 
 /** A target that can be selected for a request. */
 export interface TargetCandidate extends Candidate, ProbeCandidate {
@@ -29,8 +30,11 @@
 
 /** Tracks the state of all targets. */
 export interface TargetTracker {
-    /** Returns the targets of a service that a request can be sent to, without the excluded ids. */
-    candidates(service: string, excluded: ReadonlySet<string>): TargetCandidate[];
+    /**
+     * Returns the targets of a service that a request can be sent to, without the excluded ids. `maxIdleMs` is the longest idle
+     * time of a connection that may carry the request.
+     */
+    candidates(service: string, excluded: ReadonlySet<string>, maxIdleMs?: number): TargetCandidate[];
     /** Returns the estimated utilisation of the least used target of a service; undefined without a target. */
     leastUtilisation(service: string): number | undefined;
     begin(target: string): void;
@@ -90,10 +94,12 @@
     domain: string;
     now(): number;
     log: DecisionLog;
+    /** Sets of preferred targets; without them, requests are sent to all targets alike. */
+    targetSets?: TargetSets;
     /** Called when an outcome has to reach the other instances at once. */
     onUrgentChange(): void;
 }): TargetTracker {
-    const { directory, now, log } = parts;
+    const { directory, now, log, targetSets } = parts;
     const entries = new Map<string, Entry>();
     const baselines = new Map<string, OutcomeBaseline>();
     const averages = new Map<string, { utilisation: number; at: number; }>();
@@ -198,11 +204,17 @@
     }
 
     return {
-        candidates(service, excluded) {
+        candidates(service, excluded, maxIdleMs = 0) {
             const at = now();
-            return usableTargets(service)
+            const usable = usableTargets(service);
+            const ranked = targetSets?.ranked(service, usable);
+            const candidates = (ranked ?? usable)
                 .filter(target => !excluded.has(target.id))
                 .map(target => candidateOf(target, at));
+            if (ranked !== undefined) {
+                targetSets!.mark(service, candidates, maxIdleMs);
+            }
+            return candidates;
         },
         leastUtilisation(service) {
             const at = now();
@@ -213,8 +225,12 @@
             const entry = entryOf(target);
             entry.load.begin();
             entry.lastOutcomeAt = now();
+            targetSets?.begin(directory.get(target)?.service ?? "");
+        },
+        end(target) {
+            entryOf(target).load.end();
+            targetSets?.end(directory.get(target)?.service ?? "");
         },
-        end: target => entryOf(target).load.end(),
         utilisation: target => utilisationOf(target, now()),
         observe(target, kind) {
             const before = entryOf(target).health.unhealthyProbability(now());
--- a/packages/placement/src/exploration.ts
+++ b/packages/placement/src/exploration.ts
@@ -12,7 +12,7 @@
 
 /** State of a target that decides whether a request probes it. */
 export interface ProbeCandidate
-    extends Pick<Candidate, "unhealthyProbability" | "pathFailureProbability" | "isSameDomain">
+    extends Pick<Candidate, "unhealthyProbability" | "pathFailureProbability" | "isSameDomain" | "isOutsideSet">
 {
     /**
      * Time in milliseconds since any instance last observed an outcome at the target, or this one sent a request there;
@@ -43,6 +43,8 @@
     }
     const due = candidates.filter(candidate =>
         (candidate.isSameDomain || transferKb <= maxCrossDomainKb)
+        // Up to 24 requests queued at a target that all 118 instances probed before its first outcome had reached them.
+        && candidate.isOutsideSet !== true
         && candidate.unhealthyProbability >= probedProbability
         && candidate.msSinceOutcome >= probeIntervalMs
         && candidate.pathFailureProbability <= maxPathFailureProbability
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -18,3 +18,5 @@
 export type { Outcome, TargetHealth } from "./target-health";
 export { createTargetLoad } from "./target-load";
 export type { LoadReport, TargetLoad } from "./target-load";
+export { maxUnrankedTargets, rankTargets, targetSetLength, targetSetSize } from "./target-set";
+export type { DomainMember, TargetRanking } from "./target-set";
--- a/packages/placement/src/placement.ts
+++ b/packages/placement/src/placement.ts
@@ -17,6 +17,10 @@
     isCold: boolean;
     /** Whether the target is in this instance's failure domain. */
     isSameDomain: boolean;
+    /** Whether the target is outside the set that this instance prefers; absent for services without a set. */
+    isOutsideSet?: boolean;
+    /** Whether a request to a target of such a service needs a new connection. */
+    needsConnection?: boolean;
 }
 
 /** Properties of the request that the choice depends on. */
@@ -45,6 +49,13 @@
 /** Cost of a request to another failure domain, and the additional cost of each kilobyte of its body and response. */
 const crossDomainCost = 0.008;
 const crossDomainKbCost = 0.0035;
+/**
+ * Cost of a target outside the instance's set, the additional cost of such a target in another failure domain, and the cost of a
+ * new connection. Their sum is below the cost of a queue.
+ */
+const outsideSetCost = 0.22;
+const outsideSetCrossDomainCost = 0.1;
+const newConnectionCost = 0.07;
 /**
  * Scale of the random term. With a smaller scale, all instances choose the targets that reported the lowest load, and
  * requests queue there, since reports are up to 200 ms old.
@@ -60,7 +71,15 @@
     const busyShare = Math.min(1, utilisation);
     const loadTerm = fullUtilisationCost * busyShare ** 2 + queueCost * Math.max(0, utilisation - 1);
     const domainTerm = candidate.isSameDomain ? 0 : crossDomainCost + crossDomainKbCost * request.transferKb;
-    return failureTerm + loadTerm + domainTerm + (candidate.isCold ? coldCost : 0);
+    return failureTerm + loadTerm + domainTerm + (candidate.isCold ? coldCost : 0) + reuseTerm(candidate);
+}
+
+/** Returns the cost of leaving the targets to which this instance keeps connections. */
+function reuseTerm({ isOutsideSet, needsConnection, isSameDomain }: Candidate): number {
+    const connectionTerm = needsConnection === true ? newConnectionCost : 0;
+    return isOutsideSet === true
+        ? connectionTerm + outsideSetCost + (isSameDomain ? 0 : outsideSetCrossDomainCost)
+        : connectionTerm;
 }
 
 /** Chooses a candidate of low cost; undefined without candidates. `random` returns numbers from 0 (included) to 1. */
--- a/packages/upstream/src/connection-pool.ts
+++ b/packages/upstream/src/connection-pool.ts
@@ -22,6 +22,8 @@
 export interface ConnectionPool {
     /** Sends a request over a connection that has been idle for at most `maxIdleMs`, or over a new one. */
     exchange(target: TargetAddress, maxIdleMs: number, request: OutgoingRequest, listener: ExchangeListener): Exchange;
+    /** Returns whether a request to a target would be sent over an idle connection. */
+    hasIdle(target: string, maxIdleMs: number): boolean;
     /** Closes the idle connections to a target that has left or is leaving. */
     closeIdleConnections(target: string): void;
     /** Closes connections that have exceeded their idle time. */
@@ -101,6 +103,10 @@
             const control = connection.exchange(request, listener);
             return { ...control, usesNewConnection: reused === undefined };
         },
+        hasIdle(target, maxIdleMs) {
+            const connection = idleConnections.get(target)?.at(-1);
+            return connection !== undefined && isUsable(connection, maxIdleMs);
+        },
         closeIdleConnections(target) {
             [...idleConnections.get(target) ?? []].forEach(connection => connection.destroy());
             idleConnections.delete(target);
--- a/test/gateway/attempt-run.test.ts
+++ b/test/gateway/attempt-run.test.ts
@@ -51,6 +51,7 @@
                 usesNewConnection: true,
             };
         },
+        hasIdle: () => false,
         closeIdleConnections: () => undefined,
         closeExpiredConnections: () => undefined,
         close: () => undefined,
--- a/test/gateway/target-tracker.test.ts
+++ b/test/gateway/target-tracker.test.ts
@@ -1,11 +1,12 @@
 import { createVirtualClock } from "@trefoilladder/clock";
+import { createTargetSets } from "../../packages/gateway/src/target-sets";
 import { createTargetTracker } from "../../packages/gateway/src/target-tracker";
 import { createTestDirectory } from "../replication/create-test-directory";
 import { silentLog } from "../replication/silent-log";
 import { targetRecord } from "./fixtures";
 
 /** Creates a tracker of some targets; `counts.urgent` counts the requests for an immediate digest. */
-function createTracker(size: number) {
+function createTracker(size: number, hasIdleConnection = (_: string) => false) {
     const clock = createVirtualClock();
     const log = silentLog();
     const directory = createTestDirectory({ clock, log });
@@ -17,6 +18,12 @@
         domain: "a",
         now: () => clock.now(),
         log,
+        targetSets: createTargetSets({
+            self: () => ({ id: "entry-0", domain: "a" }),
+            peers: () => [],
+            hasIdleConnection,
+            now: () => clock.now(),
+        }),
         onUrgentChange: () => counts.urgent += 1,
     });
     return { clock, tracker, counts, ids: targets.map(({ id }) => id) };
@@ -61,6 +68,26 @@
     });
 });
 
+describe("the candidates for a request", () => {
+    // Guards against another choice in small deployments, which have a connection to each target anyway.
+    test("are unmarked for a service with few targets", () => {
+        const { tracker } = createTracker(24);
+        expect(tracker.candidates("dossier", new Set()).some(({ isOutsideSet }) => isOutsideSet !== undefined)).toBe(
+            false,
+        );
+    });
+
+    // Guards against a new target that receives no requests since no instance has a connection to it.
+    test("need a connection if none is idle, unless no instance has used the target", () => {
+        const { tracker, ids } = createTracker(30, id => id === "target-1");
+        tracker.observe(ids[0]!, "success");
+        tracker.observe(ids[1]!, "success");
+        const candidates = tracker.candidates("dossier", new Set(), 1_000);
+        const marks = new Map(candidates.map(({ target, needsConnection }) => [target.id, needsConnection]));
+        expect(ids.slice(0, 3).map(id => marks.get(id))).toEqual([true, false, false]);
+    });
+});
+
 // Guards against idle targets that appear as full as the few targets which send all load reports.
 describe("the assumed utilisation of a target without reports", () => {
     test("is the mean over all targets of the service", () => {
--- a/test/placement/connection-simulation.ts
+++ b/test/placement/connection-simulation.ts
@@ -1,6 +1,7 @@
 import { chooseProbe, chooseTarget, outcome } from "@trefoilladder/placement";
 import type { Outcome } from "@trefoilladder/placement";
 import type { ListedTarget, TargetDirectory } from "@trefoilladder/replication";
+import { createTargetSets } from "../../packages/gateway/src/target-sets";
 import { createTargetTracker } from "../../packages/gateway/src/target-tracker";
 import { createRandomSource } from "../../packages/routing/src/random-source";
 import { createEventQueue, stepMs } from "../recovery/event-queue";
@@ -100,17 +101,27 @@
         get: (id: string) => all[indexById.get(id) ?? -1],
         serving: () => all.filter((_, index) => isListed(index)),
     } as unknown as TargetDirectory;
-    const instances = Array.from({ length: load.instances }, (_, index) => ({
-        domain: index % load.domains,
-        pool: createSimulatedPool(now),
-        tracker: createTargetTracker({
+    const members = Array.from({ length: load.instances }, (_, index) => ({
+        id: `10.0.0.${index}:8500`,
+        domain: String(index % load.domains),
+    }));
+    const instances = members.map((self, index) => {
+        const pool = createSimulatedPool(now);
+        const tracker = createTargetTracker({
             directory,
-            domain: String(index % load.domains),
+            domain: self.domain,
             now,
             log: silentLog(),
+            targetSets: createTargetSets({
+                self: () => self,
+                peers: () => members.filter(member => member !== self),
+                hasIdleConnection: pool.hasIdle,
+                now,
+            }),
             onUrgentChange: () => digests.request(index),
-        }),
-    }));
+        });
+        return { domain: index % load.domains, pool, tracker };
+    });
     const digests = createSimulatedDigests({
         trackers: instances.map(({ tracker }) => tracker),
         queue,
@@ -126,7 +137,7 @@
         const maxIdleMs = isIdempotent ? idempotentMaxIdleMs : nonIdempotentMaxIdleMs;
         const canRetry = isIdempotent && excluded.size + 1 < maxAttempts;
         const profile = { isRetryable: canRetry, transferKb: load.transferKb };
-        const candidates = tracker.candidates(service, excluded);
+        const candidates = tracker.candidates(service, excluded, maxIdleMs);
         const probed = canRetry && excluded.size === 0 ? chooseProbe(candidates, profile, random) : undefined;
         const { target } = probed ?? chooseTarget(candidates, profile, random)!;
         const index = indexById.get(target.id)!;
--- a/test/placement/exploration.test.ts
+++ b/test/placement/exploration.test.ts
@@ -34,6 +34,8 @@
         ["is not suspected", { unhealthyProbability: 0.02 }],
         ["has shown an outcome just now", { msSinceOutcome: 100 }],
         ["cannot be reached by this instance", { pathFailureProbability: 0.9 }],
+        // Guards against a queue at a target that all instances of a large fleet probe before they learn of its first outcome.
+        ["is outside the set of this instance", { isOutsideSet: true }],
     ])("does not go to a target that %s", (_, fields) => {
         expect(probedShare([candidate(fields)])).toBe(0);
     });
--- a/test/placement/placement.test.ts
+++ b/test/placement/placement.test.ts
@@ -48,6 +48,17 @@
             );
     });
 
+    // Guards against requests that queue within the set while targets outside it have free slots.
+    test("prefers targets of the set until they have a queue", () => {
+        const outside = candidate({ isOutsideSet: true, needsConnection: true, isSameDomain: false });
+        expect(sharesOf([candidate(), outside], nonRetryable)[0]).toBeGreaterThan(0.99);
+        expect(sharesOf([candidate({ utilisation: 2 }), outside], nonRetryable)[0]).toBeLessThan(0.2);
+    });
+
+    test("prefers a target to which a connection is idle", () => {
+        expect(sharesOf([candidate(), candidate({ needsConnection: true })], nonRetryable)[0]).toBeGreaterThan(0.7);
+    });
+
     // Guards against all instances choosing the same least loaded target.
     test("spreads requests over targets of equal cost", () => {
         const shares = sharesOf([candidate(), candidate(), candidate(), candidate()], nonRetryable);
--- a/test/upstream/connection-pool.test.ts
+++ b/test/upstream/connection-pool.test.ts
@@ -67,6 +67,8 @@
         await start((socket, _, id) => socket.write(responseText(id)));
         await exchange(pool, target.port, "a");
         await delay(30);
+        expect(pool.hasIdle("t", 10)).toBe(false);
+        expect(pool.hasIdle("t", 5_000)).toBe(true);
         await exchange(pool, target.port, "b", { maxIdleMs: 10 });
         expect(target.connections()).toBe(2);
     });
