--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -37,6 +37,7 @@
 import type { StopTimes } from "./stop";
 import { createStoreStreams } from "./store-streams";
 import { createEligibility } from "./target-eligibility";
+import { createTargetSets } from "./target-sets";
 import { createTargetTracker } from "./target-tracker";
 
 /** A running gateway process. */
@@ -95,6 +96,12 @@
         domain: settings.domain,
         now,
         log,
+        targetSets: createTargetSets({
+            self: () => ({ id: mesh.self, domain: settings.domain }),
+            peers: () => mesh.peers().map(({ address, domain }) => ({ id: address, domain })),
+            hasIdleConnection: pool.hasIdle,
+            now,
+        }),
         onUrgentChange: () => mesh.requestDigest(),
     });
     const limitGroup = createLimitGroup({
