--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -106,6 +106,7 @@
         contact_share: () => mesh.contactShare(),
         connections_opened: () => pool.openedCount,
         requests_running: () => connections.pendingCount,
+        store_era: () => streams.era.current,
         store_answer_age_seconds: () => (now() - streams.lastResponseAt()) / 1_000,
     });
     const configuration = createConfigurationState({
@@ -241,6 +242,7 @@
             clock,
             log,
             random,
+            era: streams.era,
             instance: settings.instance,
             address: settings.address,
             hasSeeds: seedHosts().some(host => host !== settings.address),
--- a/packages/gateway/src/peer-copies.ts
+++ b/packages/gateway/src/peer-copies.ts
@@ -57,8 +57,11 @@
 export function createPeerCopies(parts: PeerCopiesParts): PeerCopies {
     const { client, clock, log } = parts;
     const fetching = new Set<Stream>();
-    /** Last encoded copy of each stream, with the offset and value that it was encoded from. */
-    const encodedCopies = new Map<Stream, { nextOffset: number; lastValue: Buffer | undefined; bytes: Buffer; }>();
+    /** Last encoded copy of each stream, with the offset, its era and the value that it was encoded from. */
+    const encodedCopies = new Map<
+        Stream,
+        { nextOffset: number; era: number; lastValue: Buffer | undefined; bytes: Buffer; }
+    >();
 
     function hostOf(address: string): string {
         return splitAddress(address).host;
@@ -66,14 +69,14 @@
 
     function encodedCopyOf(name: Stream): Buffer {
         const copy = parts.copyOf(name);
-        const { nextOffset } = copy;
+        const { nextOffset, era } = copy;
         const lastValue = copy.records.at(-1)?.value;
         const cached = encodedCopies.get(name);
-        if (cached?.nextOffset === nextOffset && cached.lastValue === lastValue) {
+        if (cached?.nextOffset === nextOffset && cached.era === era && cached.lastValue === lastValue) {
             return cached.bytes;
         }
         const bytes = encodeCopy(copy);
-        encodedCopies.set(name, { nextOffset, lastValue, bytes });
+        encodedCopies.set(name, { nextOffset, era, lastValue, bytes });
         return bytes;
     }
 
@@ -89,6 +92,7 @@
             records: copy.records.length,
             bytes: bytes.length,
             to: copy.nextOffset,
+            era: copy.era,
         });
         parts.apply(name, copy, source);
         return true;
--- a/packages/gateway/src/registration.ts
+++ b/packages/gateway/src/registration.ts
@@ -3,12 +3,13 @@
  *
  * Instances discover each other through their seeds. The store is the fallback when no seed responds: the readers of each
  * failure domain register, so that partitioned groups of instances find each other's readers there. If every instance called
- * the store, these calls would be most of the cost of starting the whole fleet.
+ * the store, these calls would be most of the cost of starting the whole fleet. An instance that has registered does so again in
+ * each new era of the store, since a store that was restored from a copy may have lost the record.
  */
 
 import type { Clock } from "@trefoilladder/clock";
-import { stream } from "@trefoilladder/replication";
-import type { RecordStore } from "@trefoilladder/replication";
+import { stream, unknownEra } from "@trefoilladder/replication";
+import type { RecordStore, StoreEra } from "@trefoilladder/replication";
 import type { DecisionLog } from "@trefoilladder/telemetry";
 
 /**
@@ -19,6 +20,8 @@
 const seedDiscoveryMs = 1_000;
 /** Interval in milliseconds at which an instance checks whether it has to register. */
 const dueCheckIntervalMs = 1_000;
+/** Time in milliseconds over which the instances spread their registrations in a new era. */
+const reregistrationSpreadMs = 5_000;
 const firstBackoffMs = 200;
 const maxBackoffMs = 3_000;
 
@@ -28,6 +31,7 @@
     clock: Clock;
     log: DecisionLog;
     random(): number;
+    era: Pick<StoreEra, "current" | "observe">;
     instance: string;
     address: string;
     /** Whether the settings name other instances as seeds. */
@@ -39,7 +43,7 @@
 }
 
 /**
- * Registers this instance once that is due, then reads the other instances once. Of two instances, the one that registers later
+ * Registers this instance once that is due, then reads the other instances once, and repeats both in each new era. Of two instances, the one that registers later
  * finds the earlier one and contacts it, so neither has to follow the stream.
  */
 export async function registerInstance(parts: RegistrationParts, signal: AbortSignal): Promise<void> {
@@ -47,25 +51,41 @@
     while (!signal.aborted && !parts.isDue()) {
         await parts.clock.sleep(dueCheckIntervalMs, signal);
     }
-    await register(parts, signal);
+    let registeredEra = await register(parts, signal);
+    while (!signal.aborted) {
+        await parts.clock.sleep(dueCheckIntervalMs, signal);
+        if (parts.era.current > registeredEra) {
+            await parts.clock.sleep(reregistrationSpreadMs * parts.random(), signal);
+            registeredEra = await register(parts, signal);
+        }
+    }
 }
 
-async function register(parts: RegistrationParts, signal: AbortSignal): Promise<void> {
+/** Writes the registration; returns the era in which it was written, undefined when the store did not accept it. */
+async function writeRecord(parts: RegistrationParts, signal: AbortSignal): Promise<number | undefined> {
+    const eraBefore = parts.era.current;
+    const record = { key: parts.instance, value: Buffer.from(parts.address) };
+    const written = await parts.store.put(stream.instances, record, signal);
+    const responseEra = written.isOk() ? written.value.era : written.error.era;
+    parts.era.observe(responseEra, "store");
+    return written.isOk() ? responseEra ?? eraBefore : undefined;
+}
+
+/** Registers until the store accepts it; returns the era in which it did. */
+async function register(parts: RegistrationParts, signal: AbortSignal): Promise<number> {
     const { store, clock, log } = parts;
-    let registered = false;
+    let registeredEra: number | undefined;
     for (let failures = 0; !signal.aborted; failures++) {
-        if (!registered) {
-            const record = { key: parts.instance, value: Buffer.from(parts.address) };
-            registered = (await store.put(stream.instances, record, signal)).isOk();
-        }
-        const listed = registered ? await store.newest(stream.instances, signal) : undefined;
-        if (listed?.isOk() === true) {
+        registeredEra ??= await writeRecord(parts, signal);
+        const listed = registeredEra === undefined ? undefined : await store.newest(stream.instances, signal);
+        if (registeredEra !== undefined && listed?.isOk() === true) {
             const addresses = listed.value.records.map(({ value }) => value?.toString() ?? "");
             addresses.filter(address => /^[\d.]+$/.test(address)).forEach(parts.addPeer);
-            log.lifecycle("registered", { instances: addresses.length, failures });
-            return;
+            log.lifecycle("registered", { instances: addresses.length, failures, era: registeredEra });
+            return registeredEra;
         }
         const backoffMs = Math.min(maxBackoffMs, firstBackoffMs * 2 ** failures);
         await clock.sleep(backoffMs * (0.5 + parts.random()), signal);
     }
+    return registeredEra ?? unknownEra;
 }
--- a/packages/gateway/src/store-streams.ts
+++ b/packages/gateway/src/store-streams.ts
@@ -7,6 +7,7 @@
 import { splitAddress } from "@trefoilladder/mesh";
 import {
     chooseReaderRole,
+    createStoreEra,
     createStoreOutage,
     createStreamFollower,
     expiryGraceUntil,
@@ -17,6 +18,7 @@
     KeyedRecord,
     ReaderRole,
     RecordBatch,
+    StoreEra,
     Stream,
     StreamFollower,
     TargetDirectory,
@@ -45,7 +47,13 @@
     /** Returns the stream offsets and ages for the next digest. */
     progress(): Pick<
         Digest,
-        "targetsOffset" | "targetsAgeMs" | "configurationOffset" | "configurationAgeMs" | "storeOutageEndAgeMs"
+        | "targetsOffset"
+        | "targetsAgeMs"
+        | "configurationOffset"
+        | "configurationAgeMs"
+        | "storeOutageEndAgeMs"
+        | "storeEra"
+        | "storeEraAgeMs"
     >;
     /** Returns the monotonic time of the store's last response about the configuration in milliseconds, 0 before the first one. */
     lastResponseAt(): number;
@@ -53,6 +61,8 @@
     expiryGraceUntil(): number;
     /** Returns whether this instance reads the streams for its failure domain. */
     isReader(): boolean;
+    /** Era of the store. */
+    era: StoreEra;
 }
 
 /** Dependencies of the streams. */
@@ -82,6 +92,7 @@
     const selfAddress = `${settings.address}:${settings.meshPort}`;
     const targetRecords = createTargetRecords({ decode: platform.decodeTarget, log, directory });
     const outage = createStoreOutage({ now: clock.now(), log });
+    const era = createStoreEra({ now: () => clock.now(), log });
 
     function applyConfiguration(records: readonly KeyedRecord[], source: string): void {
         records.filter(({ key }) => key === platform.configurationKey)
@@ -92,6 +103,7 @@
         store: platform.store,
         clock,
         log,
+        era,
         random: parts.random,
         peerCount: () => parts.mesh().peers().length,
         role,
@@ -104,7 +116,13 @@
 
     /** Pushes records to the instances of this failure domain; returns whether they fit in a datagram. */
     function push(name: Stream, from: number, { records, nextOffset }: RecordBatch): boolean {
-        return parts.mesh().pushRecords({ stream: name, from, nextOffset, records: records.map(toRow) });
+        return parts.mesh().pushRecords({
+            stream: name,
+            from,
+            nextOffset,
+            records: records.map(toRow),
+            era: era.current,
+        });
     }
 
     /** Sends a configuration to the instances of this failure domain; a large one is forwarded through a tree of instances. */
@@ -141,9 +159,10 @@
     function copyOf(name: Stream): StreamCopy {
         if (name === stream.configuration) {
             const record = configuration.record();
-            return { nextOffset: configurationFollower.nextOffset, records: record === undefined ? [] : [record] };
+            const records = record === undefined ? [] : [record];
+            return { nextOffset: configurationFollower.nextOffset, records, era: era.current };
         }
-        return { nextOffset: targetsFollower.nextOffset, records: targetRecords.all() };
+        return { nextOffset: targetsFollower.nextOffset, records: targetRecords.all(), era: era.current };
     }
 
     const copies = createPeerCopies({
@@ -187,28 +206,30 @@
             await Promise.all([configurationFollower.run(signal), targetsFollower.run(signal)]);
         },
         copies,
-        applyDigest({ targetsOffset, targetsAgeMs, configurationOffset, configurationAgeMs }, peer) {
+        applyDigest(digest, peer) {
+            const { targetsOffset, targetsAgeMs, configurationOffset, configurationAgeMs, storeEra } = digest;
+            era.observe(storeEra, peer.address, digest.storeEraAgeMs < 0 ? undefined : digest.storeEraAgeMs);
             if (targetsAgeMs >= 0) {
                 outage.recordResponse(clock.now() - targetsAgeMs);
-                targetsFollower.confirmEnd(targetsOffset, clock.now() - targetsAgeMs);
+                targetsFollower.confirmEnd(targetsOffset, clock.now() - targetsAgeMs, storeEra);
             }
             if (configurationAgeMs >= 0) {
-                configurationFollower.confirmEnd(configurationOffset, clock.now() - configurationAgeMs);
+                configurationFollower.confirmEnd(configurationOffset, clock.now() - configurationAgeMs, storeEra);
             }
             if (peer.configurationVersion > configuration.version()) {
                 catchUp(stream.configuration, configurationFollower, peer);
             }
-            if (peer.targetsOffset > targetsFollower.nextOffset) {
+            if (peer.storeEra === era.current && peer.targetsOffset > targetsFollower.nextOffset) {
                 catchUp(stream.targets, targetsFollower, peer);
             }
         },
-        applyPushed({ stream: name, from, nextOffset, records }) {
-            const read = records.map(toRecord);
+        applyPushed({ stream: name, from, nextOffset, records, era: pushedEra }) {
+            const batch = { records: records.map(toRecord), nextOffset, era: pushedEra };
             if (name === stream.configuration) {
-                configurationFollower.applyFrom(from, { records: read, nextOffset });
+                configurationFollower.applyFrom(from, batch);
                 return;
             }
-            targetsFollower.applyFrom(from, { records: read, nextOffset });
+            targetsFollower.applyFrom(from, batch);
         },
         progress: () => ({
             targetsOffset: targetsFollower.nextOffset,
@@ -216,12 +237,15 @@
             configurationOffset: configurationFollower.nextOffset,
             configurationAgeMs: confirmationAgeMs(configurationFollower),
             storeOutageEndAgeMs: storeOutageEndAgeMs(),
+            storeEra: era.current,
+            storeEraAgeMs: era.ageMs(),
         }),
         expiryGraceUntil() {
             const others = parts.mesh().peers().flatMap(({ storeOutageEndedAt }) => storeOutageEndedAt ?? []);
-            return expiryGraceUntil(outage.endedAt, others);
+            return expiryGraceUntil(outage.endedAt, others, era.roseAt);
         },
         lastResponseAt: () => Math.max(configurationFollower.lastResponseAt, 0),
         isReader: () => role() !== readerRole.none,
+        era,
     };
 }
--- a/packages/mesh/src/datagram-receiver.ts
+++ b/packages/mesh/src/datagram-receiver.ts
@@ -94,6 +94,7 @@
         if (digest.configurationVersion > 0 || digest.targetsAgeMs >= 0) {
             peer.configurationVersion = digest.configurationVersion;
             peer.targetsOffset = digest.targetsOffset;
+            peer.storeEra = digest.storeEra;
             peer.isStoreUnavailable = digest.targetsAgeMs < 0;
             peer.storeOutageEndedAt = digest.storeOutageEndAgeMs < 0 ? undefined : now - digest.storeOutageEndAgeMs;
         }
--- a/packages/mesh/src/digest.ts
+++ b/packages/mesh/src/digest.ts
@@ -53,6 +53,10 @@
      * limits.
      */
     uptimeMs: number;
+    /** Era of the store to which the offsets belong; -1 while unknown, and from instances of earlier versions. */
+    storeEra: number;
+    /** Time in milliseconds since that era began; -1 while unknown. */
+    storeEraAgeMs: number;
 }
 
 /**
@@ -109,6 +113,8 @@
         digest.sequence,
         digest.storeOutageEndAgeMs,
         digest.uptimeMs,
+        digest.storeEra,
+        digest.storeEraAgeMs,
     ]));
 }
 
@@ -201,7 +207,9 @@
         sequence,
         storeOutageEndAgeMs,
         uptimeMs,
-    ] = withDefaults(fields.slice(9), [[], "", -1, 0, -1, 0, 0, -1, -1]);
+        storeEra,
+        storeEraAgeMs,
+    ] = withDefaults(fields.slice(9), [[], "", -1, 0, -1, 0, 0, -1, -1, -1, -1]);
     const targets = readTargets(targetRows);
     const admittedTotals = readTotals(admitted);
     const retryTotals = readTotals(retries);
@@ -210,7 +218,7 @@
         && typeof domain === "string" && typeof targetsAgeMs === "number"
         && typeof configurationOffset === "number" && typeof configurationAgeMs === "number"
         && typeof linkMbps === "number" && typeof sequence === "number" && typeof storeOutageEndAgeMs === "number"
-        && typeof uptimeMs === "number"
+        && typeof uptimeMs === "number" && isInteger(storeEra) && isInteger(storeEraAgeMs)
         && Array.isArray(instances) && instances.every(address => typeof address === "string");
     return isValid && targets !== undefined && admittedTotals !== undefined && retryTotals !== undefined
         ? {
@@ -231,10 +239,16 @@
             storeOutageEndAgeMs,
             sequence,
             uptimeMs,
+            storeEra,
+            storeEraAgeMs,
         }
         : undefined;
 }
 
+function isInteger(value: unknown): value is number {
+    return Number.isSafeInteger(value);
+}
+
 function withDefaults(fields: readonly unknown[], defaults: readonly unknown[]): unknown[] {
     return defaults.map((value, index) => fields[index] ?? value);
 }
--- a/packages/mesh/src/mesh-options.ts
+++ b/packages/mesh/src/mesh-options.ts
@@ -18,6 +18,9 @@
     configurationAgeMs: number;
     /** Time in milliseconds since the store was last unavailable to all instances; -1 while unknown. */
     storeOutageEndAgeMs: number;
+    /** Era of the store, and the time in milliseconds since it began; -1 while unknown. */
+    storeEra: number;
+    storeEraAgeMs: number;
 }
 
 /** Options of the mesh. */
--- a/packages/mesh/src/mesh.ts
+++ b/packages/mesh/src/mesh.ts
@@ -108,6 +108,8 @@
             storeOutageEndAgeMs: content.storeOutageEndAgeMs ?? -1,
             sequence: sequence += 1,
             uptimeMs: Math.round(clock.now() - options.runningSince()),
+            storeEra: content.storeEra ?? -1,
+            storeEraAgeMs: content.storeEraAgeMs ?? -1,
             ...flags,
         });
     }
--- a/packages/mesh/src/peers.ts
+++ b/packages/mesh/src/peers.ts
@@ -12,6 +12,8 @@
     lastProbedAt: number;
     configurationVersion: number;
     targetsOffset: number;
+    /** Era of the store to which the offset belongs; -1 while unknown. */
+    storeEra: number;
     /** Failure domain; empty while unknown. */
     domain: string;
     /** Whether the store does not respond to the instance. */
@@ -103,6 +105,7 @@
                 lastProbedAt: -Infinity,
                 configurationVersion: 0,
                 targetsOffset: 0,
+                storeEra: -1,
                 domain: "",
                 isStoreUnavailable: true,
                 storeOutageEndedAt: undefined,
--- a/packages/mesh/src/pushed-records.ts
+++ b/packages/mesh/src/pushed-records.ts
@@ -13,6 +13,8 @@
     from: number;
     nextOffset: number;
     records: RecordRow[];
+    /** Era of the store to which the offsets belong; -1 when it is unknown to the sender. */
+    era: number;
 }
 
 /** A record as encoded; a null value means that the key was deleted. */
@@ -26,8 +28,8 @@
 const maxRecordsBytes = 2_000_000;
 
 /** Encodes records; undefined when they do not fit in a datagram. */
-export function encodePushedRecords({ stream, from, nextOffset, records }: PushedRecords): Buffer | undefined {
-    const bytes = encode([recordsFormat, stream, from, nextOffset, deflateRawSync(encode(records))]);
+export function encodePushedRecords({ stream, from, nextOffset, records, era }: PushedRecords): Buffer | undefined {
+    const bytes = encode([recordsFormat, stream, from, nextOffset, deflateRawSync(encode(records)), era]);
     return bytes.length > maxDatagramBytes ? undefined : Buffer.from(bytes);
 }
 
@@ -36,15 +38,17 @@
     return decodeMsgpackDatagram(bytes, recordsFormat, readPushedRecords);
 }
 
-function readPushedRecords([, stream, from, nextOffset, deflated]: readonly unknown[]): PushedRecords | undefined {
+function readPushedRecords(fields: readonly unknown[]): PushedRecords | undefined {
+    // The era is absent in datagrams from instances of earlier versions.
+    const [, stream, from, nextOffset, deflated, era = -1] = fields;
     const isValid = typeof stream === "string" && Number.isInteger(from) && Number.isInteger(nextOffset)
-        && deflated instanceof Uint8Array;
+        && Number.isSafeInteger(era) && deflated instanceof Uint8Array;
     if (!isValid) {
         return undefined;
     }
     const records = decode(inflateRawSync(deflated, { maxOutputLength: maxRecordsBytes }));
     return Array.isArray(records) && records.every(isRecordRow)
-        ? { stream, from: from as number, nextOffset: nextOffset as number, records }
+        ? { stream, from: from as number, nextOffset: nextOffset as number, records, era: era as number }
         : undefined;
 }
 
--- a/packages/replication/src/index.ts
+++ b/packages/replication/src/index.ts
@@ -1,6 +1,8 @@
 export type { Incarnation } from "./incarnation-reports";
 export { StoreFailure, storeProblem, stream } from "./record-store";
-export type { KeyedRecord, RecordBatch, RecordStore, Stream } from "./record-store";
+export type { Acknowledgement, KeyedRecord, RecordBatch, RecordStore, Stream } from "./record-store";
+export { createStoreEra, unknownEra } from "./store-era";
+export type { StoreEra } from "./store-era";
 export { createStoreOutage, expiryGraceUntil } from "./store-outage";
 export type { StoreOutage } from "./store-outage";
 export { chooseReaderRole, readerRole } from "./store-readers";
--- a/packages/replication/src/read-schedule.ts
+++ b/packages/replication/src/read-schedule.ts
@@ -29,6 +29,14 @@
  */
 const minPollAfterMs = 1_100;
 export const maxPollAfterMs = 1_500;
+/**
+ * Bounds of the time in milliseconds from a rise of the store's era until an instance reads the newest records again. Readers go
+ * first, so that the others learn from their digests where the stream ends.
+ */
+const maxReaderRereadMs = 100;
+const minRereadMs = 200;
+const maxRereadRangeMs = 1_500;
+const rereadRangePerPeerMs = 5;
 /** Instances per instance that is expected to poll early; the others receive its confirmation before they poll themselves. */
 const peersPerPoll = 4;
 /** Base and maximum of the exponential backoff after failures, in milliseconds. */
@@ -46,6 +54,8 @@
     pauseMs(failures: number): number;
     /** Returns the time since the last confirmation after which the instance polls the store. */
     pollAfterMs(peerCount: number): number;
+    /** Returns the delay of the read of the newest records after the store's era has risen. */
+    rereadAfterMs(role: ReaderRole, peerCount: number): number;
 }
 
 /** Creates a schedule; `pauseMs` is the pause between two reads, in which changes accumulate. */
@@ -74,5 +84,10 @@
             const lateness = random() ** (1 / (1 + peerCount / peersPerPoll));
             return minPollAfterMs + (maxPollAfterMs - minPollAfterMs) * lateness;
         },
+        rereadAfterMs(role, peerCount) {
+            return role === readerRole.none
+                ? minRereadMs + Math.min(maxRereadRangeMs, rereadRangePerPeerMs * peerCount) * random()
+                : maxReaderRereadMs * random();
+        },
     };
 }
--- a/packages/replication/src/record-store.ts
+++ b/packages/replication/src/record-store.ts
@@ -1,4 +1,5 @@
 import { Failure } from "@trefoilladder/failures";
+import type { FailureInfo } from "@trefoilladder/failures";
 import type { Result } from "neverthrow";
 
 /** Streams of the platform's store, which keeps the newest record of each key. */
@@ -24,6 +25,14 @@
 export interface RecordBatch {
     records: KeyedRecord[];
     nextOffset: number;
+    /** Era of the offsets; undefined when the store reports none. */
+    era?: number | undefined;
+}
+
+/** Acknowledgement of a write. */
+export interface Acknowledgement {
+    /** Era in which the record was written; undefined when the store reports none. */
+    era?: number | undefined;
 }
 
 /** Why a call to the store returned no result. */
@@ -36,10 +45,24 @@
     unanswered: "unanswered",
     /** The response could not be decoded. */
     malformed: "malformed",
+    /** The response is of an older era than the newest one known. */
+    outdated: "outdated",
 } as const;
 
 /** A call to the store that returned no usable response. */
-export class StoreFailure extends Failure<typeof storeProblem[keyof typeof storeProblem]> {}
+export class StoreFailure extends Failure<typeof storeProblem[keyof typeof storeProblem]> {
+    /** Era in the response; undefined without a response or when the store reports none. */
+    readonly era: number | undefined;
+
+    constructor(
+        code: typeof storeProblem[keyof typeof storeProblem],
+        message: string,
+        options: { cause?: Error; info?: FailureInfo; era?: number | undefined; } = {},
+    ) {
+        super(code, message, options);
+        this.era = options.era;
+    }
+}
 
 /** Client of the platform's store. */
 export interface RecordStore {
@@ -54,6 +77,6 @@
         received?: (bytes: number) => void,
     ): Promise<Result<RecordBatch, StoreFailure>>;
     /** Writes the newest record of a key. */
-    put(stream: Stream, record: KeyedRecord, signal: AbortSignal): Promise<Result<void, StoreFailure>>;
+    put(stream: Stream, record: KeyedRecord, signal: AbortSignal): Promise<Result<Acknowledgement, StoreFailure>>;
     close(): void;
 }
--- a/packages/replication/src/store-outage.ts
+++ b/packages/replication/src/store-outage.ts
@@ -54,8 +54,9 @@
 /**
  * Returns the monotonic time in milliseconds until which expired records may be renewed, from the end of the last outage as this
  * instance and others detected it. Uses the median: an instance that was partitioned or suspended mistakes its own gap for an outage.
+ * Targets also renew their records after a restore of the store from a copy, which began a new era at `eraRoseAt`.
  */
-export function expiryGraceUntil(own: number, others: readonly number[]): number {
+export function expiryGraceUntil(own: number, others: readonly number[], eraRoseAt = -Infinity): number {
     const ends = [own, ...others].sort((a, b) => a - b);
-    return ends[Math.floor((ends.length - 1) / 2)]! + expiredRecordGraceMs;
+    return Math.max(ends[Math.floor((ends.length - 1) / 2)]!, eraRoseAt) + expiredRecordGraceMs;
 }
--- a/packages/replication/src/stream-follower.ts
+++ b/packages/replication/src/stream-follower.ts
@@ -1,10 +1,12 @@
 import type { Clock } from "@trefoilladder/clock";
 import type { DecisionLog } from "@trefoilladder/telemetry";
 import { createReadSchedule, maxPollAfterMs } from "./read-schedule";
-import { storeProblem } from "./record-store";
-import type { KeyedRecord, RecordBatch, RecordStore, StoreFailure, Stream } from "./record-store";
+import { StoreFailure, storeProblem } from "./record-store";
+import type { KeyedRecord, RecordBatch, RecordStore, Stream } from "./record-store";
 import { createStoreCall } from "./store-call";
 import type { StoreCall } from "./store-call";
+import { createStoreEra, unknownEra } from "./store-era";
+import type { StoreEra } from "./store-era";
 import { readerRole } from "./store-readers";
 import type { ReaderRole } from "./store-readers";
 
@@ -13,20 +15,24 @@
     run(signal: AbortSignal): Promise<void>;
     /**
      * Records that another instance found the end of the stream at an offset, at a monotonic time in milliseconds. An instance
-     * that has applied all records before that offset need not poll the store for a while.
+     * that has applied all records before that offset need not poll the store for a while. An offset of another era is ignored.
      */
-    confirmEnd(endOffset: number, at: number): void;
+    confirmEnd(endOffset: number, at: number, endEra?: number): void;
     /**
      * Applies records that another instance has read, starting at an offset. Returns false, and applies nothing, when this is
-     * not the offset at which the next read of this instance starts.
+     * not the offset at which the next read of this instance starts, or when the batch is of another era.
      */
     applyFrom(from: number, batch: RecordBatch): boolean;
-    /** Applies a complete copy of another instance's newest records when that instance is ahead; returns false otherwise. */
+    /**
+     * Applies a complete copy of another instance's newest records when that instance is ahead; returns false otherwise. A copy of
+     * an older era is never ahead, one of a newer era always.
+     */
     applyCopy(batch: RecordBatch): boolean;
     /** Reports that another instance has applied newer records; the follower fetches them unless they arrive soon. */
     handlePeerAhead(): void;
     /** Whether the last call to the store failed, or no call has succeeded yet. */
     readonly isFailing: boolean;
+    /** Offset in the current era of the store; -1 while the newest records have to be read. */
     readonly nextOffset: number;
     /** Monotonic time of the last response of the store in milliseconds. */
     readonly lastResponseAt: number;
@@ -43,6 +49,11 @@
     random(): number;
     /** Pause between two reads, in which changes accumulate, in milliseconds. */
     pauseMs: number;
+    /**
+     * Era of the store, shared by the followers of an instance.
+     * @default an era of this follower alone
+     */
+    era?: StoreEra;
     /** Returns the number of other instances in contact. */
     peerCount(): number;
     /**
@@ -77,6 +88,8 @@
     start: "start",
     /** Read of the newest records after the store dropped the history. */
     expired: "expired",
+    /** Read of the newest records after the store was restored from a copy. */
+    restored: "restored",
     /** Repetition of a failed call. */
     retry: "retry",
     /** Long poll of the reader that confirms the stream's end to all instances, and of a failure domain's reader. */
@@ -101,7 +114,12 @@
     const { store, stream, clock, log } = options;
     const schedule = createReadSchedule({ random: options.random, pauseMs: options.pauseMs });
     const roleOf = options.role ?? (() => readerRole.first);
+    const era = options.era ?? createStoreEra({ now: () => clock.now(), log });
     let nextOffset = -1;
+    /** Number of rises of the era. */
+    let rises = 0;
+    /** Time of the next read of the newest records after a rise of the era; -Infinity when none is due. */
+    let rereadAt = -Infinity;
     let lastResponseAt = -Infinity;
     let endConfirmedAt = -Infinity;
     let confirmedAt = -Infinity;
@@ -121,6 +139,9 @@
         if (failures > 0) {
             return callPurpose.retry;
         }
+        if (nextOffset < 0 && rereadAt > -Infinity) {
+            return callPurpose.restored;
+        }
         if (nextOffset < 0) {
             return lastResponseAt === -Infinity ? callPurpose.start : callPurpose.expired;
         }
@@ -135,16 +156,29 @@
         const abortCall = () => current.abort();
         signal.addEventListener("abort", abortCall, { once: true });
         const from = nextOffset;
+        const risesBefore = rises;
         const isSnapshot = from < 0;
         const result = isSnapshot
             ? await store.newest(stream, current.signal)
             : await store.read(stream, from, nextWaitMs(), current.signal, current.received);
         signal.removeEventListener("abort", abortCall);
         call = undefined;
+        const responseEra = result.isOk() ? result.value.era : result.error.era;
+        era.observe(responseEra, "store");
+        const hasRisen = rises > risesBefore;
+        if (era.isOlder(responseEra)) {
+            log.stateChange("older_era_ignored", { stream, era: responseEra, known: era.current });
+            return hasRisen ? undefined : new StoreFailure("outdated", "the response is of an older era");
+        }
         if (result.isErr()) {
-            return result.error;
+            // A call that was aborted because of the rise is no failure of the store.
+            return hasRisen && current.signal.aborted ? undefined : result.error;
         }
         handleResponse(calledAt);
+        if (hasRisen && !isSnapshot) {
+            // The requested offset was one of the older era.
+            return undefined;
+        }
         const batch = unappliedPart(result.value, from);
         if (batch === undefined) {
             // Records of another instance were applied first; the next read starts after them.
@@ -168,6 +202,18 @@
         return undefined;
     }
 
+    /** Discards the offset, which has no meaning in the new era, and schedules a read of the newest records. */
+    function handleRise(): void {
+        rises += 1;
+        if (nextOffset >= 0) {
+            log.stateChange("offset_discarded", { stream, offset: nextOffset, era: era.current });
+            nextOffset = -1;
+            behindSince = undefined;
+            rereadAt = clock.now() + schedule.rereadAfterMs(roleOf(), options.peerCount());
+            call?.abort();
+        }
+    }
+
     function handleResponse(calledAt: number): void {
         lastResponseAt = clock.now();
         if (failures > 0) {
@@ -205,6 +251,7 @@
             behindSince = undefined;
             options.apply(records, isSnapshot, source);
         }
+        rereadAt = -Infinity;
         nextOffset = next;
     }
 
@@ -216,7 +263,10 @@
 
     /** Returns the time in milliseconds until this instance has to call the store. */
     function msUntilCall(): number {
-        const mayWait = nextOffset >= 0 && failures === 0 && roleOf() === readerRole.none;
+        if (nextOffset < 0) {
+            return Math.max(0, rereadAt - clock.now());
+        }
+        const mayWait = failures === 0 && roleOf() === readerRole.none;
         return mayWait ? Math.max(0, confirmedAt + pollAfterMs - clock.now()) : 0;
     }
 
@@ -271,6 +321,8 @@
         fetchPending = false;
     }
 
+    era.addRiseListener(handleRise);
+
     return {
         async run(signal) {
             while (!signal.aborted) {
@@ -280,8 +332,9 @@
                     continue;
                 }
                 const offsetBefore = nextOffset;
+                const risesBefore = rises;
                 const failure = await readOnce(signal);
-                const hasAdvanced = nextOffset !== offsetBefore;
+                const hasAdvanced = nextOffset !== offsetBefore && rises === risesBefore;
                 if (signal.aborted) {
                     return;
                 }
@@ -293,20 +346,25 @@
                 }
             }
         },
-        confirmEnd(endOffset, at) {
-            if (endOffset <= nextOffset) {
+        confirmEnd(endOffset, at, endEra = unknownEra) {
+            if (endEra === era.current && endOffset >= 0 && endOffset <= nextOffset) {
                 confirmedAt = Math.max(confirmedAt, at);
             }
         },
         applyFrom(from, batch) {
-            if (nextOffset < 0 || from !== nextOffset || batch.nextOffset <= from) {
+            era.observe(batch.era, "peer");
+            if (
+                era.isOlder(batch.era ?? unknownEra) || nextOffset < 0 || from !== nextOffset
+                || batch.nextOffset <= from
+            ) {
                 return false;
             }
             applyBatch(batch, false, "peer");
             return true;
         },
         applyCopy(batch) {
-            if (batch.nextOffset <= nextOffset) {
+            era.observe(batch.era, "peer");
+            if (era.isOlder(batch.era ?? unknownEra) || batch.nextOffset <= nextOffset) {
                 return false;
             }
             applyBatch(batch, true, "peer");
--- a/test/gateway/fixtures.ts
+++ b/test/gateway/fixtures.ts
@@ -18,12 +18,22 @@
     view(isRefused?: () => boolean): RecordStore;
     /** Returns the total bytes of values that reads of a stream have returned. */
     bytesRead(name: Stream): number;
+    /** Returns a copy of all records, from which the store can be restored later. */
+    copy(): StoreCopy;
+    /** Replaces all records by those of a copy and raises the era. Waiting reads are completed in the new era. */
+    restore(copy: StoreCopy): void;
+    /** Era of all responses; undefined for a store without eras. */
+    era: number | undefined;
 }
 
+/** Records of all streams at one time. */
+export type StoreCopy = ReadonlyMap<Stream, readonly KeyedRecord[]>;
+
 /** Creates an empty store. */
 export function createMemoryStore(): MemoryStore {
     const records = new Map<Stream, KeyedRecord[]>(Object.values(stream).map(name => [name, []]));
     const waiters = createWaiters();
+    const expired = () => err(new StoreFailure("expired", "the offset does not exist", { era: store.era }));
     const bytesRead = new Map<Stream, number>();
 
     function countRead(name: Stream, read: readonly KeyedRecord[]): void {
@@ -36,11 +46,12 @@
         waiters.wakeAll();
     }
 
-    return {
+    const store: MemoryStore = {
+        era: 1,
         put: (name, key, value) => append(name, { key, value: Buffer.from(JSON.stringify(value)) }),
         drop: (name, key) => append(name, { key, value: undefined }),
         view(isRefused = () => false) {
-            const refused = () => err(new StoreFailure("refused", "the store refused the call"));
+            const refused = () => err(new StoreFailure("refused", "the store refused the call", { era: store.era }));
             return {
                 async newest(name) {
                     if (isRefused()) {
@@ -49,34 +60,44 @@
                     const all = records.get(name)!;
                     const newest = new Map(all.map(record => [record.key, record]));
                     const kept = [...newest.values()].filter(({ value }) => value !== undefined);
-                    return ok({ records: kept, nextOffset: all.length });
+                    return ok({ records: kept, nextOffset: all.length, era: store.era });
                 },
                 async read(name, offset, waitMs, signal) {
                     if (isRefused()) {
                         return refused();
                     }
-                    const all = records.get(name)!;
-                    if (all.length <= offset) {
+                    if (records.get(name)!.length === offset) {
                         await waiters.wait(waitMs, signal);
                     }
                     if (isRefused()) {
                         return refused();
                     }
+                    const all = records.get(name)!;
+                    if (all.length < offset) {
+                        return expired();
+                    }
                     countRead(name, all.slice(offset));
-                    return ok({ records: all.slice(offset), nextOffset: all.length });
+                    return ok({ records: all.slice(offset), nextOffset: all.length, era: store.era });
                 },
                 async put(name, record) {
                     if (isRefused()) {
                         return refused();
                     }
                     append(name, record);
-                    return ok(undefined);
+                    return ok({ era: store.era });
                 },
                 close: () => undefined,
             };
         },
         bytesRead: name => bytesRead.get(name) ?? 0,
+        copy: () => new Map([...records].map(([name, all]) => [name, [...all]])),
+        restore(copy) {
+            copy.forEach((all, name) => records.set(name, [...all]));
+            store.era = (store.era ?? 0) + 1;
+            waiters.wakeAll();
+        },
     };
+    return store;
 }
 
 /** Returns a route of the tests' host. */
--- a/test/gateway/peer-copies.test.ts
+++ b/test/gateway/peer-copies.test.ts
@@ -1,13 +1,15 @@
+import { encode } from "@msgpack/msgpack";
 import { createVirtualClock } from "@trefoilladder/clock";
 import type { Peer } from "@trefoilladder/mesh";
 import { stream } from "@trefoilladder/replication";
+import { deflateRawSync } from "node:zlib";
 import { decodeCopy, encodeCopy } from "../../packages/gateway/src/copy-codec";
 import type { StreamCopy } from "../../packages/gateway/src/copy-codec";
 import { createPeerCopies } from "../../packages/gateway/src/peer-copies";
 import type { PeerCopies } from "../../packages/gateway/src/peer-copies";
 import { silentLog } from "../replication/silent-log";
 
-const copy: StreamCopy = { nextOffset: 7, records: [{ key: "current", value: Buffer.from("routes") }] };
+const copy: StreamCopy = { nextOffset: 7, records: [{ key: "current", value: Buffer.from("routes") }], era: 2 };
 
 /** Time in milliseconds that an instance with a backlog took to serve a copy in trouble-1 of vipimo-gw-grown. */
 const slowMs = 1_100;
@@ -120,7 +122,7 @@
 describe("an encoded copy", () => {
     // Guards against serving an old configuration from the cache after a newer one arrived without a change of the offset.
     test("is encoded again when its record has changed", async () => {
-        const current = { nextOffset: 7, records: [{ key: "current", value: Buffer.from("old") }] };
+        const current = { nextOffset: 7, records: [{ key: "current", value: Buffer.from("old") }], era: 2 };
         const copies = createPeerCopies({
             clock: createVirtualClock(),
             log: silentLog(),
@@ -135,13 +137,35 @@
         expect(decodeCopy(copies.encodedCopyOf(stream.configuration))!.records[0]!.value!.toString()).toBe("new");
     });
 
+    // Guards against a copy from the cache that carries the era before a restore: its receivers would not apply it.
+    test("is encoded again when the era has changed", () => {
+        const current = { ...copy };
+        const copies = createPeerCopies({
+            clock: createVirtualClock(),
+            log: silentLog(),
+            random: () => 0,
+            client: { fetch: async () => undefined, push: async () => true },
+            copyOf: () => current,
+            apply: () => undefined,
+        });
+        copies.encodedCopyOf(stream.configuration);
+        current.era = 3;
+        expect(decodeCopy(copies.encodedCopyOf(stream.configuration))!.era).toBe(3);
+    });
+
     test("decodes to the same records, dropped keys included", () => {
         const records = [...copy.records, { key: "gone", value: undefined }];
-        expect(decodeCopy(encodeCopy({ nextOffset: 7, records }))).toEqual({ nextOffset: 7, records });
+        expect(decodeCopy(encodeCopy({ nextOffset: 7, records, era: 2 }))).toEqual({ nextOffset: 7, records, era: 2 });
+    });
+
+    // Guards against a copy of an earlier version that is taken for one of the current era.
+    test("has no known era when its sender is of an earlier version", () => {
+        const older = deflateRawSync(encode([7, []]));
+        expect(decodeCopy(older)).toEqual({ nextOffset: 7, records: [], era: -1 });
     });
 
     test("is not decoded from malformed bytes", () => {
         expect(decodeCopy(Buffer.from("no copy"))).toBeUndefined();
-        expect(decodeCopy(encodeCopy({ nextOffset: 0.5, records: [] }))).toBeUndefined();
+        expect(decodeCopy(encodeCopy({ nextOffset: 0.5, records: [], era: 2 }))).toBeUndefined();
     });
 });
--- a/test/gateway/registration.test.ts
+++ b/test/gateway/registration.test.ts
@@ -1,4 +1,5 @@
 import { createVirtualClock } from "@trefoilladder/clock";
+import { createStoreEra } from "@trefoilladder/replication";
 import { setMaxListeners } from "node:events";
 import { registerInstance } from "../../packages/gateway/src/registration";
 import { silentLog } from "../replication/silent-log";
@@ -13,11 +14,13 @@
     const addedPeers: string[] = [];
     const store = createMemoryStore();
     store.put("instances", "entry-9", "other");
+    const era = createStoreEra({ now: () => clock.now(), log: silentLog() });
     const done = registerInstance({
         store: store.view(),
         clock,
         log: silentLog(events),
         random: () => 0.5,
+        era,
         instance: "entry-1",
         address: "10.1.0.1",
         addPeer: address => addedPeers.push(address),
@@ -26,6 +29,12 @@
     return {
         events,
         addedPeers,
+        store,
+        era,
+        async registered() {
+            const { records } = (await store.view().newest("instances", stopping.signal))._unsafeUnwrap();
+            return records.map(({ key }) => key);
+        },
         async advance(ms: number) {
             for (let passed = 0; passed <= ms; passed += 100) {
                 await clock.advance(100);
@@ -63,4 +72,45 @@
         expect(registration.events).toEqual(["registered"]);
         await registration.stop();
     });
+
+    // Guards against partitioned groups of instances that do not find each other because the restored store has lost the records
+    // of their readers.
+    test("is repeated once in each new era", async () => {
+        const registration = startRegistration({ hasSeeds: false, isDue: () => true });
+        const copy = registration.store.copy();
+        await registration.advance(2_000);
+        expect(await registration.registered()).toContain("entry-1");
+        registration.store.restore(copy);
+        expect(await registration.registered()).not.toContain("entry-1");
+        registration.era.observe(registration.store.era, "peer");
+        await registration.advance(20_000);
+        expect(await registration.registered()).toContain("entry-1");
+        expect(registration.events.filter(event => event === "registered")).toHaveLength(2);
+        await registration.stop();
+    });
+
+    // Guards against a registration that is lost because the store is restored again while it is written.
+    test("is repeated when the store is restored a second time", async () => {
+        const registration = startRegistration({ hasSeeds: false, isDue: () => true });
+        const copy = registration.store.copy();
+        await registration.advance(2_000);
+        registration.store.restore(copy);
+        registration.era.observe(registration.store.era, "peer");
+        registration.store.restore(copy);
+        await registration.advance(4_000);
+        registration.store.restore(copy);
+        registration.era.observe(registration.store.era, "peer");
+        await registration.advance(8_000);
+        expect(await registration.registered()).toContain("entry-1");
+        await registration.stop();
+    });
+
+    // Guards against further calls of each instance to a store that reports no era.
+    test("is not repeated while the store reports no era", async () => {
+        const registration = startRegistration({ hasSeeds: false, isDue: () => true });
+        registration.store.era = undefined;
+        await registration.advance(20_000);
+        expect(registration.events).toEqual(["registered"]);
+        await registration.stop();
+    });
 });
--- a/test/gateway/store-streams.test.ts
+++ b/test/gateway/store-streams.test.ts
@@ -51,7 +51,7 @@
                 signal.addEventListener("abort", wake, { once: true });
             });
         },
-        put: async () => ok(undefined),
+        put: async () => ok({}),
         close: () => undefined,
     };
 
--- a/test/mesh/digest-cost.bench.ts
+++ b/test/mesh/digest-cost.bench.ts
@@ -103,6 +103,8 @@
         linkMbps: 10,
         sequence: round,
         uptimeMs: 60_000,
+        storeEra: 3,
+        storeEraAgeMs: -1,
     };
 }
 
--- a/test/mesh/digest.test.ts
+++ b/test/mesh/digest.test.ts
@@ -1,3 +1,4 @@
+import { encode } from "@msgpack/msgpack";
 import {
     createPeers,
     decodeBundle,
@@ -12,6 +13,7 @@
 import type { Digest, PushedRecords } from "@trefoilladder/mesh";
 import fc from "fast-check";
 import { randomBytes } from "node:crypto";
+import { deflateRawSync } from "node:zlib";
 
 const digest: Digest = {
     sender: "10.0.0.1:7660/a1",
@@ -35,6 +37,8 @@
     linkMbps: 200,
     sequence: 31,
     uptimeMs: 61_000,
+    storeEra: 2,
+    storeEraAgeMs: 4_000,
 };
 
 describe("digest", () => {
@@ -45,7 +49,7 @@
     // Guards against a split of the mesh during a rolling upgrade, when older instances send fewer fields.
     test("is accepted from an instance of an earlier version that sends fewer fields", () => {
         const fields = JSON.parse(encodeDigest(digest).toString()) as unknown[];
-        const older = decodeDigest(Buffer.from(JSON.stringify(fields.slice(0, -9))))._unsafeUnwrap();
+        const older = decodeDigest(Buffer.from(JSON.stringify(fields.slice(0, -11))))._unsafeUnwrap();
         const defaults = {
             retries: [],
             domain: "",
@@ -55,6 +59,8 @@
             linkMbps: 0,
             sequence: 0,
             uptimeMs: -1,
+            storeEra: -1,
+            storeEraAgeMs: -1,
             storeOutageEndAgeMs: -1,
         };
         expect(older).toEqual({ ...digest, ...defaults });
@@ -138,18 +144,25 @@
         from: 7,
         nextOffset: 9,
         records: [["t-1", Buffer.from("v")], ["t-2", null]],
+        era: 2,
     };
 
     test("decode to what was encoded, and are not a digest", () => {
         const bytes = encodePushedRecords(pushed)!;
         const { records, ...offsets } = decodePushedRecords(bytes)!;
-        expect(offsets).toEqual({ stream: "targets", from: 7, nextOffset: 9 });
+        expect(offsets).toEqual({ stream: "targets", from: 7, nextOffset: 9, era: 2 });
         expect(records.map(([key, value]) => [key, value === null ? null : Buffer.from(value).toString()]))
             .toEqual([["t-1", "v"], ["t-2", null]]);
         expect(decodeDigest(Buffer.from(bytes)).isErr()).toBe(true);
         expect(decodePushedRecords(encodeDigest(digest))).toBeUndefined();
     });
 
+    // Guards against a split of the fleet during a rolling upgrade: earlier versions send no era.
+    test("have no known era when their sender is of an earlier version", () => {
+        const older = encode([102, "targets", 7, 7, deflateRawSync(encode([]))]);
+        expect(decodePushedRecords(older)).toEqual({ stream: "targets", from: 7, nextOffset: 7, records: [], era: -1 });
+    });
+
     test("are not encoded when they do not fit in a datagram", () => {
         const records: PushedRecords["records"] = [["t-1", randomBytes(20_000)]];
         expect(encodePushedRecords({ ...pushed, records })).toBeUndefined();
--- a/test/mesh/relays.test.ts
+++ b/test/mesh/relays.test.ts
@@ -49,6 +49,8 @@
         linkMbps: 10,
         sequence: 0,
         uptimeMs: 60_000,
+        storeEra: -1,
+        storeEraAgeMs: -1,
         ...fields,
     };
 }
@@ -96,6 +98,8 @@
                     targetsAgeMs: 0,
                     storeOutageEndAgeMs: 60_000,
                     configurationAgeMs: 0,
+                    storeEra: -1,
+                    storeEraAgeMs: -1,
                 }),
                 receive(digest) {
                     senders.add(digest.sender.split(":")[0]!);
--- a/test/replication/store-readers.test.ts
+++ b/test/replication/store-readers.test.ts
@@ -89,7 +89,7 @@
         return {
             newest: (_, signal) => serveRead(0, 0, signal),
             read: (_, offset, waitMs, signal) => serveRead(offset, waitMs, signal),
-            put: () => Promise.resolve(ok(undefined)),
+            put: () => Promise.resolve(ok({})),
             close: () => undefined,
         };
     }
--- a/test/replication/stream-follower.test.ts
+++ b/test/replication/stream-follower.test.ts
@@ -77,7 +77,7 @@
             waits.push(waitMs);
             return nextResponse(`read ${offset}`, signal, received);
         },
-        put: () => Promise.resolve(ok(undefined)),
+        put: () => Promise.resolve(ok({})),
         close: () => undefined,
     };
     const follower = createStreamFollower({
--- a/test/users-platform/store-client.test.ts
+++ b/test/users-platform/store-client.test.ts
@@ -48,7 +48,52 @@
         await put("a", "1");
         const reading = client.read(stream.instances, 1, 5_000, stopping.signal);
         await put("a", undefined);
-        expect((await reading)._unsafeUnwrap()).toEqual({ records: [{ key: "a", value: undefined }], nextOffset: 2 });
+        expect((await reading)._unsafeUnwrap())
+            .toEqual({ records: [{ key: "a", value: undefined }], nextOffset: 2, era: 1 });
+    });
+
+    // Guards against a restore that is not noticed because only successful responses are examined.
+    test("reads the era from each response, errors included", async () => {
+        standIn.era = 7;
+        expect((await put("a", "1"))._unsafeUnwrap().era).toBe(7);
+        expect((await client.newest(stream.instances, stopping.signal))._unsafeUnwrap().era).toBe(7);
+        expect((await client.read(stream.instances, 0, 0, stopping.signal))._unsafeUnwrap().era).toBe(7);
+        expect((await client.read(stream.instances, 5, 0, stopping.signal))._unsafeUnwrapErr().era).toBe(7);
+        standIn.fault = 503;
+        expect((await put("a", "1"))._unsafeUnwrapErr().era).toBe(7);
+    });
+
+    test.each([undefined, "", "-1", "1.5", "new", "1e3"])("has no era for the header %p", async era => {
+        standIn.era = era;
+        expect((await client.read(stream.instances, 0, 0, stopping.signal))._unsafeUnwrap().era).toBeUndefined();
+    });
+
+    // Guards against a snapshot that consists of pages of two eras and lacks records of both.
+    test("fails when the store is restored between two pages", async () => {
+        for (const key of ["a", "b", "c"]) {
+            await put(key, "1");
+        }
+        const copy = standIn.copy();
+        const reading = client.newest(stream.instances, stopping.signal);
+        while (!standIn.calls.some(path => path.startsWith("/api/log-newest"))) {
+            await new Promise(resolve => setImmediate(resolve));
+        }
+        standIn.restore(copy);
+        const failure = (await reading)._unsafeUnwrapErr();
+        expect([failure.code, failure.era]).toEqual(["expired", 2]);
+    });
+
+    // Guards against a long poll that stays open over a restore and returns nothing of the new era.
+    test("returns a waiting read with the new era when the store is restored", async () => {
+        const copy = standIn.copy();
+        await put("a", "1");
+        const reading = client.read(stream.instances, 1, 5_000, stopping.signal);
+        while (!standIn.calls.some(path => path.startsWith("/api/log-read"))) {
+            await new Promise(resolve => setImmediate(resolve));
+        }
+        standIn.restore(copy);
+        const failure = (await reading)._unsafeUnwrapErr();
+        expect([failure.code, failure.era]).toEqual(["expired", 2]);
     });
 
     test.each([[410, "expired"], [503, "refused"], [429, "refused"]])(
--- a/test/users-platform/store-stand-in.ts
+++ b/test/users-platform/store-stand-in.ts
@@ -16,9 +16,20 @@
     fault: number | "silent" | undefined;
     /** Time in milliseconds over which each response is sent in parts while it is set; "stalled" sends only the first part. */
     transferMs: number | "stalled" | undefined;
+    /** Value of the header `Store-Era` of all responses; undefined for a store that does not send it. */
+    era: number | string | undefined;
+    /** Returns a copy of all records, from which the store can be restored later. */
+    copy(): StoreCopy;
+    /** Replaces all records by those of a copy, raises the era, and completes waiting reads in the new era. */
+    restore(copy: StoreCopy): void;
     close(): Promise<void>;
 }
 
+/** Records of all topics at one time. */
+export type StoreCopy = ReadonlyMap<string, readonly Buffer[]>;
+
+const eraHeader = "store-era";
+
 /** Number of parts of a response that is sent over time. */
 const transferParts = 20;
 
@@ -78,29 +89,36 @@
         waiters.wakeAll();
     }
 
+    function eraHeaders(): Record<string, string> {
+        return standIn.era === undefined ? {} : { [eraHeader]: String(standIn.era) };
+    }
+
     async function handleCall(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
         standIn.calls.push(incoming.url ?? "");
         if (standIn.fault === "silent") {
             return;
         }
         if (standIn.fault !== undefined) {
-            outgoing.writeHead(standIn.fault).end();
+            outgoing.writeHead(standIn.fault, eraHeaders()).end();
             return;
         }
         const url = new URL(incoming.url ?? "", "http://store");
         const topic = url.searchParams.get("Topic") ?? "";
-        const records = recordsOf(topic);
-        const handlers: Record<string, () => Promise<Buffer>> = {
-            "/api/log-newest": () => Promise.resolve(json(newestPage(records, url.searchParams.get("after")))),
+        const handlers: Record<string, () => Promise<Buffer | undefined>> = {
+            "/api/log-newest": () => Promise.resolve(json(newestPage(recordsOf(topic), url.searchParams.get("after")))),
             "/api/log-append": async () => {
                 append(topic, await readBody(incoming));
-                return json({ Offset: records.length - 1, EndOffset: records.length });
+                return json({ Offset: recordsOf(topic).length - 1, EndOffset: recordsOf(topic).length });
             },
             "/api/log-read": async () => {
                 const from = Number(url.searchParams.get("From"));
-                if (records.length <= from) {
+                if (recordsOf(topic).length === from) {
                     await waiters.wait(Number(url.searchParams.get("WaitMs")));
                 }
+                const records = recordsOf(topic);
+                if (records.length < from) {
+                    return undefined;
+                }
                 const offsets = Buffer.alloc(16);
                 offsets.writeBigUInt64BE(BigInt(records.length));
                 return Buffer.concat([offsets, ...records.slice(from)]);
@@ -112,7 +130,11 @@
             return;
         }
         const body = await handle();
-        outgoing.writeHead(200);
+        if (body === undefined) {
+            outgoing.writeHead(410, eraHeaders()).end();
+            return;
+        }
+        outgoing.writeHead(200, eraHeaders());
         if (standIn.transferMs !== undefined) {
             await sendInParts(outgoing, body, standIn.transferMs);
             return;
@@ -131,6 +153,14 @@
         append,
         fault: undefined,
         transferMs: undefined,
+        era: 1,
+        copy: () => new Map([...topics].map(([topic, records]) => [topic, [...records]])),
+        restore(copy) {
+            topics.clear();
+            copy.forEach((records, topic) => topics.set(topic, [...records]));
+            standIn.era = Number(standIn.era ?? 0) + 1;
+            waiters.wakeAll();
+        },
         async close() {
             waiters.wakeAll();
             server.close();
