--- a/packages/replication/src/index.ts
+++ b/packages/replication/src/index.ts
@@ -1,3 +1,5 @@
+export { createEraSettlement, eraSettleMs } from "./era-settlement";
+export type { EraSettlement } from "./era-settlement";
 export type { Incarnation } from "./incarnation-reports";
 export { StoreFailure, storeProblem, stream } from "./record-store";
 export type { Acknowledgement, KeyedRecord, RecordBatch, RecordStore, Stream } from "./record-store";
