--- a/test/gateway/store-restore.test.ts
+++ b/test/gateway/store-restore.test.ts
@@ -92,4 +92,50 @@
         await delay(2_500);
         expect((await call(fleet.callers[0]!)).status).toBe(200);
     });
+
+    // Guards against an instance that keeps the state of the older era: it hears of the new one only from other instances, and their
+    // offsets are lower than its own.
+    test("is followed by an instance that has lost the store, through copies of other instances", async () => {
+        const refusal = { instance: -1 };
+        await start({ instances: 3, isRefused: instance => instance === refusal.instance });
+        const copy = fleet.store.copy();
+        for (let sequence = 2; sequence < 6; sequence++) {
+            fleet.store.put(stream.targets, "target-1", targetRecord(1, fleet.targets[1]!.port, { sequence }));
+        }
+        await delay(1_500);
+        refusal.instance = 2;
+        await delay(500);
+        fleet.store.restore(copy);
+        const draining = targetRecord(0, fleet.targets[0]!.port, { draining: true, sequence: 9 });
+        fleet.store.put(stream.targets, "target-0", draining);
+        fleet.store.put(stream.configuration, "current", version(2));
+        await waitForVersion(2);
+        await delay(3_000);
+        const before = fleet.targets[0]!.requests.length;
+        for (let request = 0; request < sampleRequests; request++) {
+            await call(fleet.callers[2]!, { path: "/lookup/1" });
+        }
+        expect(fleet.targets[0]!.requests.length).toBe(before);
+    });
+
+    // Guards against records of the first restored state that remain because both restores are taken for one.
+    test.each([1, 3])("may be restored twice within a second (%d instances)", async instances => {
+        await start({ instances });
+        const copy = fleet.store.copy();
+        fleet.store.restore(copy);
+        fleet.store.put(stream.configuration, "current", version(2));
+        await delay(400);
+        fleet.store.restore(copy);
+        fleet.store.put(stream.configuration, "current", version(3));
+        await waitForVersion(3);
+        expect(await isInForce(2)).toBe(false);
+    });
+
+    // Guards against changed behaviour with a store that sends no era.
+    test("without an era still delivers changes", async () => {
+        await start({ instances: 2 });
+        fleet.store.era = undefined;
+        fleet.store.put(stream.configuration, "current", version(2));
+        await waitForVersion(2);
+    });
 });
