--- a/test/replication/store-readers.test.ts
+++ b/test/replication/store-readers.test.ts
@@ -1,10 +1,17 @@
 import { createVirtualClock } from "@trefoilladder/clock";
-import { chooseReaderRole, createStreamFollower, StoreFailure, stream } from "@trefoilladder/replication";
+import {
+    chooseReaderRole,
+    createStoreEra,
+    createStreamFollower,
+    StoreFailure,
+    stream,
+} from "@trefoilladder/replication";
 import type {
     KeyedRecord,
     ReaderCandidate,
     RecordBatch,
     RecordStore,
+    StoreEra,
     StreamFollower,
 } from "@trefoilladder/replication";
 import fc from "fast-check";
@@ -22,8 +29,9 @@
     /** Time since which the store has served this instance without a fault. */
     healthySince: number;
     follower: StreamFollower;
-    /** Offsets that were applied one by one, in order. */
-    applied: number[];
+    era: StoreEra;
+    /** Keys of the records that were applied, in order. */
+    applied: string[];
 }
 
 interface Simulation {
@@ -33,6 +41,8 @@
     lossShare: number;
     /** Share of instances that each fault affects. */
     faultShare: number;
+    /** Whether the store is restored from copies. */
+    hasRestores?: boolean;
 }
 
 const durationMs = 30_000;
@@ -44,7 +54,9 @@
 const callTimeoutMs = 1_500;
 
 /** Simulates instances of one failure domain; returns the violations. */
-async function simulate({ seed, instances: size, lossShare, faultShare }: Simulation): Promise<string[]> {
+async function simulate(
+    { seed, instances: size, lossShare, faultShare, hasRestores = false }: Simulation,
+): Promise<string[]> {
     const clock = createVirtualClock();
     const source = createRandomSource(seed);
     const random = () => source.next();
@@ -53,11 +65,14 @@
     const violations: string[] = [];
     const log: { record: KeyedRecord; at: number; }[] = [];
     const instances: Instance[] = [];
+    let era = 1;
+    let restoredAt = -Infinity;
+    let written = 0;
 
-    const offsetOf = ({ key }: KeyedRecord) => Number(key);
     const batchFrom = (from: number): RecordBatch => ({
         records: log.slice(from).map(({ record }) => record),
         nextOffset: log.length,
+        era,
     });
     const unanswered = (): Result<RecordBatch, StoreFailure> => err(new StoreFailure("unanswered", "no response"));
 
@@ -80,6 +95,9 @@
                 if (signal.aborted) {
                     return unanswered();
                 }
+                if (log.length < from) {
+                    return err(new StoreFailure("expired", "the offset does not exist", { era }));
+                }
                 if (log.length > from || clock.now() >= endsAt) {
                     return ok(batchFrom(from));
                 }
@@ -102,12 +120,15 @@
         const candidates = (): ReaderCandidate[] =>
             others(instance)
                 .map(other => ({ address: other.address, domain: "a", isStoreUnavailable: other.follower.isFailing }));
+        const instanceEra = createStoreEra({ now: () => clock.now(), log: silentLog() });
         const instance: Instance = {
             address,
             fault: "none",
             healthySince: 0,
             applied: [],
+            era: instanceEra,
             follower: createStreamFollower({
+                era: instanceEra,
                 store: storeOf(() => instance),
                 stream: stream.targets,
                 clock,
@@ -117,8 +138,8 @@
                 pauseMs: 300,
                 role: () => chooseReaderRole({ address, domain: "a" }, candidates()),
                 apply(records, isSnapshot) {
-                    const offsets = records.map(offsetOf);
-                    instance.applied = isSnapshot ? offsets : [...instance.applied, ...offsets];
+                    const keys = records.map(({ key }) => key);
+                    instance.applied = isSnapshot ? keys : [...instance.applied, ...keys];
                 },
                 recordsRead(from, batch) {
                     others(instance).filter(() => random() >= lossShare)
@@ -129,18 +150,29 @@
         return instance;
     }
 
+    /** Returns the copy that an instance serves, from the records that it has applied. */
+    function copyOf({ follower, era: { current }, applied }: Instance): RecordBatch {
+        const records = applied.map(key => ({ key, value: Buffer.from("v") }));
+        return { records, nextOffset: follower.nextOffset, era: current };
+    }
+
     async function sendDigests(instance: Instance): Promise<void> {
         while (!stopping.signal.aborted) {
-            const { follower } = instance;
+            const { follower, era: { current: ownEra } } = instance;
             const ageMs = clock.now() - follower.lastResponseAt;
             for (const other of others(instance).filter(() => random() >= lossShare)) {
+                other.era.observe(
+                    ownEra,
+                    instance.address,
+                    instance.era.ageMs() < 0 ? undefined : instance.era.ageMs(),
+                );
                 if (!follower.isFailing) {
-                    other.follower.confirmEnd(follower.nextOffset, clock.now() - ageMs);
+                    other.follower.confirmEnd(follower.nextOffset, clock.now() - ageMs, ownEra);
                 }
-                if (follower.nextOffset > other.follower.nextOffset) {
+                if (other.era.current === ownEra && follower.nextOffset > other.follower.nextOffset) {
                     other.follower.handlePeerAhead();
                     if (other.follower.isFailing) {
-                        other.follower.applyCopy({ ...batchFrom(0), nextOffset: log.length });
+                        other.follower.applyCopy(copyOf(instance));
                     }
                 }
             }
@@ -164,22 +196,34 @@
         }
     }
 
+    /** Restores the store from copies that lack some of the newest records; some restores follow each other closely. */
+    async function restoreStore(): Promise<void> {
+        while (!stopping.signal.aborted) {
+            await clock.sleep(random() < 0.3 ? 300 : 4_000 + 6_000 * random(), stopping.signal);
+            log.splice(Math.max(0, log.length - Math.floor(4 * random())));
+            era += 1;
+            restoredAt = clock.now();
+        }
+    }
+
     async function append(): Promise<void> {
         while (!stopping.signal.aborted) {
             await clock.sleep(100 + 2_500 * random(), stopping.signal);
-            log.push({ record: { key: String(log.length), value: Buffer.from("v") }, at: clock.now() });
+            log.push({ record: { key: String(written), value: Buffer.from("v") }, at: clock.now() });
+            written += 1;
         }
     }
 
     function check(): void {
         const due = log.filter(({ at }) => at <= clock.now() - maxPropagationMs).length;
-        for (const { address, fault, healthySince, follower, applied } of instances) {
+        for (const { address, fault, healthySince, follower, era: { current }, applied } of instances) {
             const lastAt = log[due - 1]?.at ?? 0;
-            const isHealthy = fault === "none" && healthySince + minHealthyMs <= lastAt;
-            if (isHealthy && follower.nextOffset < due) {
+            const isHealthy = fault === "none" && Math.max(healthySince, restoredAt) + minHealthyMs <= lastAt;
+            if (isHealthy && (current !== era || follower.nextOffset < due)) {
                 violations.push(`${address} lacks record ${follower.nextOffset} of ${due} at ${clock.now()}`);
             }
-            if (applied.some((offset, index) => offset !== index)) {
+            const isOfEra = current === era && follower.nextOffset >= 0;
+            if (isOfEra && applied.some((key, index) => key !== log[index]?.record.key)) {
                 violations.push(`${address} applied ${applied.join(",")}`);
             }
         }
@@ -193,6 +237,7 @@
         ...instances.map(sendDigests),
         injectFaults(),
         append(),
+        ...hasRestores ? [restoreStore()] : [],
     ];
     for (let elapsedMs = 0; elapsedMs < durationMs && violations.length === 0; elapsedMs += stepMs) {
         await clock.advance(stepMs);
@@ -223,4 +268,23 @@
             { seed: 20_261_204, numRuns: 80 },
         );
     }, 120_000);
+
+    // Guards against instances that keep records of an older era, skip records whose offsets were assigned again, or apply them late.
+    test("all apply the records of the newest era in time after the store is restored from copies", async () => {
+        await fc.assert(
+            fc.asyncProperty(
+                fc.record({
+                    seed: fc.nat(),
+                    instances: fc.integer({ min: 1, max: 8 }),
+                    lossShare: fc.constantFrom(0, 0.05, 0.2),
+                    faultShare: fc.constantFrom(0, 0.35, 0.7, 1),
+                    hasRestores: fc.constant(true),
+                }),
+                async options => {
+                    expect(await simulate(options)).toEqual([]);
+                },
+            ),
+            { seed: 20_261_206, numRuns: 40 },
+        );
+    }, 120_000);
 });
--- a/test/soak/soak-fleet.ts
+++ b/test/soak/soak-fleet.ts
@@ -4,10 +4,11 @@
 import { mkdtempSync, openSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { setTimeout as delay } from "node:timers/promises";
 import { encodeRecord } from "../../platform/src/record-codec";
 import { freePort } from "../free-port";
 import { startStoreStandIn } from "../users-platform/store-stand-in";
-import type { StoreStandIn } from "../users-platform/store-stand-in";
+import type { StoreCopy, StoreStandIn } from "../users-platform/store-stand-in";
 import { startSoakTarget } from "./soak-target";
 import type { SoakTarget, TargetListener } from "./soak-target";
 
@@ -35,6 +36,10 @@
     callersPort: number;
     /** Publishes a configuration with these keys and a number of additional routes that no caller uses. */
     publish(keys: readonly string[], extraRoutes?: number): void;
+    /**
+     * Restores the store from a copy. Each target writes its newest record again within the interval of its writes.
+     */
+    restoreStore(copy: StoreCopy): void;
     /** Registers a target with its start time in milliseconds. */
     register(target: Pick<SoakTarget, "id" | "port">, startedAt: number): void;
     /**
@@ -49,6 +54,8 @@
 const logDirectory = process.env["SOAK_LOGS"];
 /** Start time that the targets are first registered with, in milliseconds. */
 export const targetStartedAtMs = 1_000;
+/** Time in milliseconds within which every target writes its record again. */
+const targetIntervalMs = 1_500;
 /** Time within which a stopped process exits, including its stop time and one pause, in milliseconds. */
 const exitTimeoutMs = 6_000;
 
@@ -89,6 +96,10 @@
     let version = 0;
     let closed = false;
 
+    /** Functions that write the newest record of each target again. */
+    const writers = new Map<string, () => void>();
+    let targetSequence = 0;
+
     function appendRecord(topic: string, key: string, value: object): void {
         store.append(topic, encodeRecord({ key, value: Buffer.from(JSON.stringify(value)) }));
     }
@@ -135,17 +146,29 @@
     }
 
     function register({ id, port }: Pick<SoakTarget, "id" | "port">, startedAt: number): void {
-        appendRecord("keyed.servers", id, {
-            Service: "soak",
-            Address: `127.0.0.1:${port}`,
-            Zone: "a",
-            Version: "v1",
-            Slots: 6,
-            State: "ready",
-            ColdRemainingMs: 0,
-            Sequence: 1,
-            born: startedAt,
-        });
+        const write = () => {
+            targetSequence += 1;
+            appendRecord("keyed.servers", id, {
+                Service: "soak",
+                Address: `127.0.0.1:${port}`,
+                Zone: "a",
+                Version: "v1",
+                Slots: 6,
+                State: "ready",
+                ColdRemainingMs: 0,
+                Sequence: targetSequence,
+                born: startedAt,
+            });
+        };
+        writers.set(id, write);
+        write();
+    }
+
+    async function writeTargetsAgain(): Promise<void> {
+        for (const { id } of targets) {
+            await delay(targetIntervalMs / targets.length);
+            writers.get(id)!();
+        }
     }
 
     publish(["key-1"]);
@@ -161,6 +184,10 @@
         gateways,
         callersPort,
         publish,
+        restoreStore(copy) {
+            store.restore(copy);
+            void writeTargetsAgain();
+        },
         register,
         async restart(index, stopping) {
             const gateway = gateways[index]!;
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -1,6 +1,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { createRandomSource } from "../../packages/routing/src/random-source";
 import { call, waitUntil } from "../gateway/caller";
+import type { StoreCopy } from "../users-platform/store-stand-in";
 import { createNoticeCheck } from "./notice-check";
 import type { NoticeCheck } from "./notice-check";
 import { startSoakFleet, targetStartedAtMs } from "./soak-fleet";
@@ -32,6 +33,17 @@
     201,
     ...(process.env["SOAK_LARGE_SEEDS"] ?? "").split(",").filter(text => text !== "").map(Number),
 ];
+/** Seeds of the runs in which the store is also restored from copies. */
+const restoreSeeds = [
+    307,
+    312,
+    ...extraSeeds,
+    ...(process.env["SOAK_RESTORE_SEEDS"] ?? "").split(",").filter(text => text !== "").map(Number),
+];
+/** Time in milliseconds that is added to a run for its first restore, during which there are no other faults. */
+const undisturbedMs = 4_000;
+/** Step of the age of a copy and of the time until the operator writes again, in milliseconds. */
+const restoreStepMs = 500;
 /** Interval between published large configurations, in milliseconds. */
 const publishIntervalMs = 1_500;
 /** Offset of the callers' seed from the seed of the faults. */
@@ -48,6 +60,10 @@
     served: number;
     /** Time at which the first key was revoked. */
     revokedAt: number;
+    /** Copy of the store from before the revocation. */
+    copyBeforeRevocation: StoreCopy;
+    /** Keys that were added after restores of the store. */
+    addedKeys: string[];
     notices: NoticeCheck;
 }
 
@@ -107,6 +123,32 @@
     },
 };
 
+/** Kinds of faults of a run in which the store is restored; further kinds would change the order of faults of other seeds. */
+const faultsWithRestore: Record<string, Fault> = {
+    ...faults,
+    async restore(fleet, pick, run) {
+        // The first restore always loses a record, so that its offset is assigned again.
+        const isOldCopy = pick(2) === 0 || run.addedKeys.length === 0;
+        const copyAgeMs = restoreStepMs * (1 + pick(4));
+        const operatorDelayMs = [0, 0, restoreStepMs, 2 * restoreStepMs][pick(4)]!;
+        const fault = ([undefined, 503, "silent"] as const)[pick(3)];
+        const copy = isOldCopy ? run.copyBeforeRevocation : fleet.store.copy();
+        await delay(copyAgeMs);
+        fleet.store.fault = fault;
+        fleet.restoreStore(copy);
+        if (operatorDelayMs > 0) {
+            await delay(operatorDelayMs);
+        }
+        // Without a delay, the new record has the offset of a lost one before any gateway reads.
+        const isApplied = checkApplied(fleet, run);
+        if (fault !== undefined) {
+            await delay(restoreStepMs);
+            fleet.store.fault = undefined;
+        }
+        await isApplied;
+    },
+};
+
 let currentFleet: SoakFleet | undefined;
 
 /** Starts a fleet that is closed after the test, also when the test times out. */
@@ -187,14 +229,41 @@
     }
 }
 
-async function runSeed(seed: number, fleetSizes: SoakSizes, hasLargeConfigurations = false): Promise<SoakRun> {
+/** Publishes a configuration with a further key, and checks that each gateway accepts this key within 5 s. */
+async function checkApplied(fleet: SoakFleet, run: SoakRun): Promise<void> {
+    run.addedKeys.push(`added-${run.addedKeys.length}`);
+    const key = run.addedKeys.at(-1)!;
+    fleet.publish(["key-2", ...run.addedKeys]);
+    await Promise.all(fleet.gateways.map(({ host }) => {
+        const at = { host, port: fleet.callersPort };
+        return waitUntil(async () => (await call(at, { host: "soak.example", key })).status === 200)
+            .catch(() => run.violations.push(`${host} did not apply ${key} in time`));
+    }));
+}
+
+interface RunOptions {
+    hasLargeConfigurations?: boolean;
+    hasRestores?: boolean;
+}
+
+async function runSeed(seed: number, fleetSizes: SoakSizes, options: RunOptions = {}): Promise<SoakRun> {
+    const { hasLargeConfigurations = false, hasRestores = false } = options;
     const faultSource = createRandomSource(seed);
     const next = () => faultSource.next();
     // Callers use a separate random source, so that the seed alone determines the order of faults.
     const callerSource = createRandomSource(seed + callerSeedOffset);
     const violations: string[] = [];
     const notices = createNoticeCheck({ now: () => performance.now(), violations });
-    const run: SoakRun = { executions: new Map(), violations, faults: [], served: 0, revokedAt: Infinity, notices };
+    const run: SoakRun = {
+        executions: new Map(),
+        violations,
+        faults: [],
+        served: 0,
+        revokedAt: Infinity,
+        copyBeforeRevocation: new Map(),
+        addedKeys: [],
+        notices,
+    };
     const fleet = await startTestFleet(fleetSizes, {
         ran(id, method, key) {
             if (key !== undefined) {
@@ -213,24 +282,34 @@
             (await call({ host, port: fleet.callersPort }, { host: "soak.example", key: "key-2" })).status === 200
         );
     }
+    run.copyBeforeRevocation = fleet.store.copy();
     fleet.publish(["key-2"], hasLargeConfigurations ? largeConfigurationRoutes : 0);
     run.revokedAt = performance.now();
-    const endsAt = performance.now() + durationMs;
+    const endsAt = performance.now() + durationMs + (hasRestores ? undisturbedMs : 0);
     const callers = Array.from({ length: 3 }, () => sendRequests(fleet, run, () => callerSource.next(), endsAt, seed));
-    const names = Object.keys(faults);
+    const kinds = hasRestores ? faultsWithRestore : faults;
+    const names = Object.keys(kinds);
     const choices: number[] = [];
     const pick = (count: number) => choices[choices.push(Math.floor(next() * count)) - 1]!;
     const running: Promise<void>[] = hasLargeConfigurations ? [publishLargeConfigurations(fleet, endsAt)] : [];
     while (performance.now() < endsAt - 2_000) {
-        const name = names[Math.floor(next() * names.length)]!;
+        const isFirstRestore = hasRestores && run.faults.length === 0;
+        const name = isFirstRestore ? "restore" : names[Math.floor(next() * names.length)]!;
         const at = Math.round(performance.now() - run.revokedAt);
-        running.push(faults[name]!(fleet, count => pick(count), run));
+        running.push(kinds[name]!(fleet, count => pick(count), run));
         run.faults.push(`${at} ms ${name} ${choices.join(",")}`);
         choices.length = 0;
+        if (isFirstRestore) {
+            // A gateway that restarts reads the newest records, and the others would learn of them from it.
+            await running.at(-1);
+        }
         await delay(300 + 900 * next());
     }
     await Promise.all([...callers, ...running]);
     await delay(2_500);
+    if (hasRestores) {
+        await checkApplied(fleet, run);
+    }
     for (const [id, executions] of run.executions) {
         if (executions > 1) {
             run.violations.push(`${id} ran ${executions} times`);
@@ -281,8 +360,30 @@
 
     // Guards against the late configuration of incident inc1 while the instances that forward it are killed, paused or stopped.
     test.each(largeConfigurationSeeds)("keeps its guarantees with large configurations and seed %d", async seed => {
-        const { violations, faults: injectedFaults, served } = await runSeed(seed, relayedSizes, true);
+        const { violations, faults: injectedFaults, served } = await runSeed(seed, relayedSizes, {
+            hasLargeConfigurations: true,
+        });
         expectNoViolations(violations, injectedFaults);
         expect(served).toBeGreaterThan(100);
     }, 90_000);
+
+    // Guards against a revoked key that comes back with the copy, and against gateways that wait for ever at an offset of the older
+    // era.
+    test.each(restoreSeeds)("keeps its guarantees with restores of the store and seed %d", async seed => {
+        const { violations, faults: injectedFaults, served } = await runSeed(seed, sizes, { hasRestores: true });
+        expectNoViolations(violations, injectedFaults);
+        expect(served).toBeGreaterThan(100);
+    }, 60_000);
+
+    test.each(restoreSeeds.slice(0, 1))(
+        "keeps its guarantees with restores, relays and seed %d",
+        async seed => {
+            const { violations, faults: injectedFaults, served } = await runSeed(seed, relayedSizes, {
+                hasRestores: true,
+            });
+            expectNoViolations(violations, injectedFaults);
+            expect(served).toBeGreaterThan(100);
+        },
+        90_000,
+    );
 });
