--- a/test/replication/store-era.test.ts
+++ b/test/replication/store-era.test.ts
@@ -3,6 +3,8 @@
 import type { KeyedRecord, ReaderRole, RecordBatch, RecordStore } from "@trefoilladder/replication";
 import { err, ok } from "neverthrow";
 import type { Result } from "neverthrow";
+import { createReadSchedule } from "../../packages/replication/src/read-schedule";
+import { createRandomSource } from "../../packages/routing/src/random-source";
 import { silentLog } from "./silent-log";
 
 type Response = Result<RecordBatch, StoreFailure>;
@@ -243,3 +245,20 @@
         expect([2, 3, 4, undefined].map(era.isOlder)).toEqual([true, false, false, false]);
     });
 });
+
+describe("the reads of a fleet after a restore", () => {
+    // Guards against a restored store that fails again because all instances call it at the same moment.
+    test("are spread over time, and readers go first", () => {
+        const source = createRandomSource(20_261_206);
+        const schedule = createReadSchedule({ random: () => source.next(), pauseMs: 300 });
+        const instances = 293;
+        const delays = Array.from({ length: instances }, () => schedule.rereadAfterMs(readerRole.none, instances - 1));
+        const latestOfReaders = Math.max(
+            ...Array.from({ length: 20 }, () => schedule.rereadAfterMs(readerRole.domain, instances - 1)),
+        );
+        const inWindow = (start: number) => delays.filter(delay => delay >= start && delay < start + 100).length;
+        expect(latestOfReaders).toBeLessThan(Math.min(...delays));
+        expect(Math.max(...delays)).toBeLessThanOrEqual(1_700);
+        expect(Math.max(...delays.map(inWindow))).toBeLessThanOrEqual(40);
+    });
+});
