--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -126,6 +126,7 @@
         contact_share: () => mesh.contactShare(),
         connections_opened: () => pool.openedCount,
         requests_running: () => connections.pendingCount,
+        store_era: () => streams.era.current,
         store_answer_age_seconds: () => (now() - streams.lastResponseAt()) / 1_000,
     });
     const configuration = createConfigurationState({
@@ -287,6 +288,7 @@
             clock,
             log,
             random,
+            era: streams.era,
             instance: settings.instance,
             address: settings.address,
             hasSeeds: seedHosts().some(host => host !== settings.address),
--- a/packages/gateway/src/store-streams.ts
+++ b/packages/gateway/src/store-streams.ts
@@ -7,6 +7,8 @@
 import { splitAddress } from "@trefoilladder/mesh";
 import {
     chooseReaderRole,
+    createEraSettlement,
+    createStoreEra,
     createStoreOutage,
     createStreamFollower,
     expiryGraceUntil,
@@ -17,6 +19,7 @@
     KeyedRecord,
     ReaderRole,
     RecordBatch,
+    StoreEra,
     Stream,
     StreamFollower,
     TargetDirectory,
@@ -46,7 +49,13 @@
     /** Returns the stream offsets and ages for the next digest. */
     progress(): Pick<
         Digest,
-        "targetsOffset" | "targetsAgeMs" | "configurationOffset" | "configurationAgeMs" | "storeOutageEndAgeMs"
+        | "targetsOffset"
+        | "targetsAgeMs"
+        | "configurationOffset"
+        | "configurationAgeMs"
+        | "storeOutageEndAgeMs"
+        | "storeEra"
+        | "storeEraAgeMs"
     >;
     /** Returns the monotonic time of the store's last response about the configuration in milliseconds, 0 before the first one. */
     lastResponseAt(): number;
@@ -54,6 +63,8 @@
     expiryGraceUntil(): number;
     /** Returns whether this instance reads the streams for its failure domain. */
     isReader(): boolean;
+    /** Era of the store. */
+    era: StoreEra;
 }
 
 /** Dependencies of the streams. */
@@ -64,7 +75,7 @@
     log: DecisionLog;
     random(): number;
     configuration: ConfigurationState;
-    evacuations: Pick<Evacuations, "apply" | "records">;
+    evacuations: Pick<Evacuations, "apply">;
     directory: TargetDirectory;
     mesh(): Pick<Mesh, "peers" | "pushRecords" | "requestDigest">;
 }
@@ -75,6 +86,8 @@
  */
 const configurationPauseMs = 900;
 const targetsPauseMs = 300;
+/** Interval in milliseconds at which records that a new era of the store holds back are looked at again. */
+const settleIntervalMs = 1_000;
 /** Upper limit in milliseconds of the reported time since the end of an outage. */
 const maxStoreOutageEndAgeMs = 60_000;
 
@@ -84,6 +97,8 @@
     const selfAddress = `${settings.address}:${settings.meshPort}`;
     const targetRecords = createTargetRecords({ decode: platform.decodeTarget, log, directory });
     const outage = createStoreOutage({ now: clock.now(), log });
+    const era = createStoreEra({ now: () => clock.now(), log });
+    const evacuationSettlement = createEraSettlement({ now: () => clock.now(), era });
 
     function applyConfiguration(records: readonly KeyedRecord[], source: string): void {
         records.filter(({ key }) => key === platform.configurationKey)
@@ -94,6 +109,7 @@
         store: platform.store,
         clock,
         log,
+        era,
         random: parts.random,
         peerCount: () => parts.mesh().peers().length,
         role,
@@ -106,7 +122,13 @@
 
     /** Pushes records to the instances of this failure domain; returns whether they fit in a datagram. */
     function push(name: Stream, from: number, { records, nextOffset }: RecordBatch): boolean {
-        return parts.mesh().pushRecords({ stream: name, from, nextOffset, records: records.map(toRow) });
+        return parts.mesh().pushRecords({
+            stream: name,
+            from,
+            nextOffset,
+            records: records.map(toRow),
+            era: era.current,
+        });
     }
 
     /** Sends a configuration to the instances of this failure domain; a large one is forwarded through a tree of instances. */
@@ -130,7 +152,8 @@
         apply(records, isSnapshot, source) {
             // The end of an evacuation depends on the configuration of the services, which may be in the same records.
             applyConfiguration(records, source);
-            evacuations.apply(records, isSnapshot, source);
+            const written = records.filter(({ key }) => key.startsWith(platform.evacuationKeyPrefix));
+            evacuations.apply(evacuationSettlement.accept(written, isSnapshot), source);
         },
         recordsRead: pushConfiguration,
         fetchMissing: fetchConfiguration,
@@ -144,14 +167,22 @@
         recordsRead: (from, batch) => void push(stream.targets, from, batch),
     });
 
+    /** Puts the evacuations of a new era of the store in force once its writers have had the time to write them again. */
+    async function settleEvacuations(signal: AbortSignal): Promise<void> {
+        while (!signal.aborted) {
+            await clock.sleep(settleIntervalMs, signal);
+            evacuations.apply(evacuationSettlement.settle(), "era_settled");
+        }
+    }
+
     function copyOf(name: Stream): StreamCopy {
         if (name === stream.configuration) {
             const record = configuration.record();
             // The configuration comes last: a copy is encoded again when its last value changes.
-            const records = [...evacuations.records(), ...record === undefined ? [] : [record]];
-            return { nextOffset: configurationFollower.nextOffset, records };
+            const records = [...evacuationSettlement.logged(), ...record === undefined ? [] : [record]];
+            return { nextOffset: configurationFollower.nextOffset, records, era: era.current };
         }
-        return { nextOffset: targetsFollower.nextOffset, records: targetRecords.all() };
+        return { nextOffset: targetsFollower.nextOffset, records: targetRecords.all(), era: era.current };
     }
 
     const copies = createPeerCopies({
@@ -193,33 +224,39 @@
 
     return {
         async run(signal) {
-            await Promise.all([configurationFollower.run(signal), targetsFollower.run(signal)]);
+            await Promise.all([
+                configurationFollower.run(signal),
+                targetsFollower.run(signal),
+                settleEvacuations(signal),
+            ]);
         },
         copies,
-        applyDigest({ targetsOffset, targetsAgeMs, configurationOffset, configurationAgeMs }, peer) {
+        applyDigest(digest, peer) {
+            const { targetsOffset, targetsAgeMs, configurationOffset, configurationAgeMs, storeEra } = digest;
+            era.observe(storeEra, peer.address, digest.storeEraAgeMs < 0 ? undefined : digest.storeEraAgeMs);
             if (targetsAgeMs >= 0) {
                 outage.recordResponse(clock.now() - targetsAgeMs);
-                targetsFollower.confirmEnd(targetsOffset, clock.now() - targetsAgeMs);
+                targetsFollower.confirmEnd(targetsOffset, clock.now() - targetsAgeMs, storeEra);
             }
             if (configurationAgeMs >= 0) {
-                configurationFollower.confirmEnd(configurationOffset, clock.now() - configurationAgeMs);
+                configurationFollower.confirmEnd(configurationOffset, clock.now() - configurationAgeMs, storeEra);
             }
             // An evacuation raises the offset and not the version.
-            const isPeerAhead = configurationOffset > configurationFollower.nextOffset;
+            const isPeerAhead = storeEra === era.current && configurationOffset > configurationFollower.nextOffset;
             if (isPeerAhead || peer.configurationVersion > configuration.version()) {
                 catchUp(stream.configuration, configurationFollower, peer);
             }
-            if (peer.targetsOffset > targetsFollower.nextOffset) {
+            if (peer.storeEra === era.current && peer.targetsOffset > targetsFollower.nextOffset) {
                 catchUp(stream.targets, targetsFollower, peer);
             }
         },
-        applyPushed({ stream: name, from, nextOffset, records }) {
-            const read = records.map(toRecord);
+        applyPushed({ stream: name, from, nextOffset, records, era: pushedEra }) {
+            const batch = { records: records.map(toRecord), nextOffset, era: pushedEra };
             if (name === stream.configuration) {
-                configurationFollower.applyFrom(from, { records: read, nextOffset });
+                configurationFollower.applyFrom(from, batch);
                 return;
             }
-            targetsFollower.applyFrom(from, { records: read, nextOffset });
+            targetsFollower.applyFrom(from, batch);
         },
         progress: () => ({
             targetsOffset: targetsFollower.nextOffset,
@@ -227,12 +264,15 @@
             configurationOffset: configurationFollower.nextOffset,
             configurationAgeMs: confirmationAgeMs(configurationFollower),
             storeOutageEndAgeMs: storeOutageEndAgeMs(),
+            storeEra: era.current,
+            storeEraAgeMs: era.ageMs(),
         }),
         expiryGraceUntil() {
             const others = parts.mesh().peers().flatMap(({ storeOutageEndedAt }) => storeOutageEndedAt ?? []);
-            return expiryGraceUntil(outage.endedAt, others);
+            return expiryGraceUntil(outage.endedAt, others, era.roseAt);
         },
         lastResponseAt: () => Math.max(configurationFollower.lastResponseAt, 0),
         isReader: () => role() !== readerRole.none,
+        era,
     };
 }
