--- a/packages/limits/src/token-owner.ts
+++ b/packages/limits/src/token-owner.ts
@@ -43,6 +43,19 @@
     /** Times at which rejected callers are expected back, the latest for each limit. */
     const returnsAt = new Map<string, number>();
     let isStarted = false;
+    let contactShare = 0;
+
+    /**
+     * Returns whether this instance is still becoming acquainted with the others: one that starts before most of them is in contact with
+     * all that it knows, decides, and then hears of the rest, with which it shares the limit until they have started.
+     */
+    function isDiscovering(): boolean {
+        return contactShare < minStartShare && now() - startedAt < maxStartMs;
+    }
+
+    function startingDecision(): TokenDecision {
+        return { kind: "starting", remainingMs: Math.max(0, startedAt + maxStartMs - now()) };
+    }
 
     /** Spreads rejected callers over the tokens to come, so that they do not return together. */
     function retryAfterMs(name: string, nextTokenMs: number, ratePerSecond: number): number {
@@ -59,9 +72,12 @@
             return { kind: "unknown" };
         }
         if (!isStarted) {
-            return { kind: "starting", remainingMs: Math.max(0, startedAt + maxStartMs - now()) };
+            return startingDecision();
         }
         const nextTokenMs = limit.take(now());
+        if (nextTokenMs > 0 && isDiscovering()) {
+            return startingDecision();
+        }
         return nextTokenMs <= 0
             ? { kind: "granted" }
             : {
@@ -95,6 +111,7 @@
         },
         updateContact(share, startedTogether) {
             const ageMs = now() - startedAt;
+            contactShare = share;
             if (isStarted || ageMs < minStartMs || share < minStartShare && ageMs < maxStartMs) {
                 return;
             }
--- a/test/limits/token-owner.test.ts
+++ b/test/limits/token-owner.test.ts
@@ -45,6 +45,32 @@
         expect(kinds(1)).toEqual(["granted"]);
     });
 
+    // Guards against requests within the plan that are rejected after a restart of all instances: one that starts before the others is
+    // in contact with all that it knows, decides, and then hears of the rest, which lowers its part of the limit to a tenth.
+    test("lets requests wait instead of rejecting them while it hears of instances that start with it", () => {
+        const { owner, group, advance, kinds } = createFixture();
+        advance(310);
+        owner.updateContact(1, true);
+        expect(kinds(1)).toEqual(["granted"]);
+        group.setContactShare(0.1);
+        owner.updateContact(0.1, true);
+        expect(kinds(25).filter(kind => kind === "rejected")).toEqual([]);
+        expect(kinds(1)).toEqual(["starting"]);
+        group.setContactShare(1);
+        owner.updateContact(1, true);
+        expect(kinds(1)).toEqual(["rejected"]);
+    });
+
+    test("rejects requests again when other instances stay silent", () => {
+        const { owner, group, advance, kinds } = createFixture();
+        advance(310);
+        owner.updateContact(1, true);
+        group.setContactShare(0.1);
+        owner.updateContact(0.1, true);
+        advance(1_300);
+        expect(kinds(30)).toContain("rejected");
+    });
+
     // Guards against a token that is taken twice because a response was lost.
     test("gives a repeated request the decision of the first", () => {
         const { owner, advance, limit } = createFixture();
