--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -80,6 +80,12 @@
 /** Share of the typical time after which an error is attributed to the request: a failing target responds at once. */
 const processedShare = 0.12;
 
+/**
+ * Time in milliseconds after a request within which a target that has dropped the idle connection resets it. Later resets are lost
+ * responses or targets that crash.
+ */
+const maxIdleResetMs = 40;
+
 /** Starts an attempt. */
 export function startAttempt(parts: AttemptParts, options: AttemptOptions): Attempt {
     const { targetTracker, headerNames, now } = parts;
@@ -216,6 +222,10 @@
             const arrived = sentAt !== undefined;
             // A reset of a pooled connection may be the target's idle timeout, which says nothing about its health.
             const isIdleRace = arrived && !exchange.usesNewConnection && head === undefined;
+            const isIdleReset = isIdleRace && now() - sentAt! <= maxIdleResetMs;
+            if (isIdleReset && failure.code === exchangeFailureCode.broken) {
+                targetTracker.observeIdleReset(target.id);
+            }
             const isWithdrawn = failure.code === exchangeFailureCode.withdrawn;
             settle(isWithdrawn || isIdleRace ? undefined : arrived ? outcome.failure : outcome.unreachable);
             if (stream !== undefined) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -6,6 +6,7 @@
 import { createColdShares, createLimitGroup } from "@trefoilladder/limits";
 import { createMesh, splitAddress } from "@trefoilladder/mesh";
 import type { Digest, Peer } from "@trefoilladder/mesh";
+import { maxUnrankedTargets } from "@trefoilladder/placement";
 import { createTargetDirectory } from "@trefoilladder/replication";
 import { createDecisionLog } from "@trefoilladder/telemetry";
 import { createConnectionPool } from "@trefoilladder/upstream";
@@ -19,6 +20,7 @@
 import { createConfigurationState } from "./configuration-state";
 import { createCopyListener } from "./copy-server";
 import { createEvacuations } from "./evacuations";
+import { createIdleLimits } from "./idle-limits";
 import { createLimitDecisions } from "./limit-decisions";
 import { createLimitSummary, limitSummaryIntervalMs } from "./limit-summary";
 import { listen } from "./listen";
@@ -91,6 +93,13 @@
         },
         leaving: id => pool.closeIdleConnections(id),
     });
+    const idleLimits = createIdleLimits({
+        now,
+        log,
+        hasManyTargets: service => directory.serving(service).length > maxUnrankedTargets,
+        runningSince: () => limitDecisions.runningSince(),
+        peersRunningSince: () => mesh.peers().map(({ runningSince }) => runningSince),
+    });
     const targetTracker = createTargetTracker({
         directory,
         domain: settings.domain,
@@ -102,6 +111,7 @@
             hasIdleConnection: pool.hasIdle,
             now,
         }),
+        idleLimits,
         onUrgentChange: () => mesh.requestDigest(),
     });
     const limitGroup = createLimitGroup({
@@ -211,6 +221,7 @@
         connections,
         pool,
         targetTracker,
+        idleLimits,
         directory,
         eligibilityOf,
         headerNames: platform.headers,
