--- a/test/soak/soak-fleet.ts
+++ b/test/soak/soak-fleet.ts
@@ -25,6 +25,16 @@
     domains: number;
     /** Arguments of Node.js for the gateways. */
     nodeArguments?: readonly string[];
+    /** Bundle that the gateways run; by default the one for tests. */
+    program?: string;
+    /** Whether the gateways' error output is discarded; Jest takes a report of exhausted memory in it as its own. */
+    discardsErrors?: boolean;
+    /** Settings of the gateways beyond the usual ones. */
+    settings?: object;
+    /** Time limit of the routes in milliseconds. */
+    routeTimeoutMs?: number;
+    /** Limits of callers in the configuration; by default the configuration states none. */
+    callerLimits?: object;
 }
 
 /** Real gateway processes; the store and the targets are stand-ins. */
@@ -33,6 +43,7 @@
     targets: SoakTarget[];
     gateways: SoakGateway[];
     callersPort: number;
+    readinessPort: number;
     /** Publishes a configuration with these keys and a number of additional routes that no caller uses. */
     publish(keys: readonly string[], extraRoutes?: number): void;
     /** Registers a target with its start time in milliseconds. */
@@ -58,12 +69,12 @@
     }
 }
 
-function routeResource(name: string, type: string): object {
+function routeResource(name: string, type: string, timeoutMs = 1_500): object {
     const spec = {
         Host: "soak.example",
         PathPrefix: `/${name}/`,
         Type: type,
-        TimeoutMs: 1_500,
+        TimeoutMs: timeoutMs,
         TargetLatencyMs: 400,
         Priority: 1,
         Service: "soak",
@@ -100,7 +111,14 @@
             (_, index) => routeResource(`r${version}-${index}`, "safe"),
         );
         const tenant = { ResourceType: "Tenants", Metadata: { Name: "o" }, Spec: { ApiKeys: keys } };
-        const resources = [routeResource("lookup", "safe"), routeResource("filing", "unsafe"), tenant, ...unusedRoutes];
+        const limits = sizes.callerLimits === undefined
+            ? []
+            : [{ ResourceType: "Limits", Metadata: {}, Spec: sizes.callerLimits }];
+        const routes = [
+            routeResource("lookup", "safe", sizes.routeTimeoutMs),
+            routeResource("filing", "unsafe", sizes.routeTimeoutMs),
+        ];
+        const resources = [...routes, tenant, ...limits, ...unusedRoutes];
         appendRecord("keyed.op", "config", { Version: `r${version}`, Resources: resources });
     }
 
@@ -121,17 +139,22 @@
             stopSeconds: 3,
             budget: { ratio: 0.2, reserve: 60 },
             logLevel: logDirectory === undefined ? "warn" : "info",
+            ...sizes.settings,
         };
         const path = join(directory, `${host}.yaml`);
         writeFileSync(path, JSON.stringify(settings));
-        return spawn(process.execPath, [...sizes.nodeArguments ?? [], "dist/trefoilladder-gateway.js"], {
-            env: { TREFOILLADDER_NODE_FILE: path },
-            stdio: [
-                "ignore",
-                logDirectory === undefined ? "ignore" : openSync(join(logDirectory, host), "a"),
-                "inherit",
-            ],
-        });
+        return spawn(
+            process.execPath,
+            [...sizes.nodeArguments ?? [], sizes.program ?? "dist/trefoilladder-gateway.js"],
+            {
+                env: { TREFOILLADDER_NODE_FILE: path },
+                stdio: [
+                    "ignore",
+                    logDirectory === undefined ? "ignore" : openSync(join(logDirectory, host), "a"),
+                    sizes.discardsErrors === true ? "ignore" : "inherit",
+                ],
+            },
+        );
     }
 
     function register({ id, port }: Pick<SoakTarget, "id" | "port">, startedAt: number): void {
@@ -160,6 +183,7 @@
         targets,
         gateways,
         callersPort,
+        readinessPort,
         publish,
         register,
         async restart(index, stopping) {
