--- a/packages/gateway/src/response-check.ts
+++ b/packages/gateway/src/response-check.ts
@@ -21,6 +21,8 @@
 /** One of the classes. */
 export type ResponseKind = typeof responseKind[keyof typeof responseKind];
 
+/** Largest status of a final response. */
+const maxStatus = 599;
 /** Statuses that imply to a caller that its request has not run. */
 const notRunStatuses = new Set([408, 421, 429, 503]);
 
@@ -39,6 +41,9 @@
     usesNewConnection: boolean,
 ): ResponseKind {
     const hasId = headerValue(head, headerNames.requestId) !== undefined;
+    if (head.status < 200 || head.status > maxStatus) {
+        return responseKind.unusable;
+    }
     if (!hasId && !usesNewConnection) {
         return responseKind.unusable;
     }
--- a/packages/upstream/src/target-connection.ts
+++ b/packages/upstream/src/target-connection.ts
@@ -125,6 +125,27 @@
     return undefined;
 }
 
+/** Returns whether a response precedes the final one. */
+function isInterim({ status }: ResponseHead): boolean {
+    return status >= 100 && status < 200;
+}
+
+/** Returns whether headers announce a body. */
+function announcesBody(head: ResponseHead): boolean {
+    return headerValue(head, "transfer-encoding") !== undefined || (head.bodyLength ?? 0) > 0;
+}
+
+/** Returns an error when the status is not one of a response: a final one is 200 to 599, an interim one has no body. */
+function findStatusError(head: ResponseHead): Error | undefined {
+    if (head.status < 100 || head.status > 599) {
+        return new Error(`the status ${head.status} is not one of HTTP`);
+    }
+    if (head.status === 101) {
+        return new Error("the target switches protocols, which was not requested");
+    }
+    return isInterim(head) && announcesBody(head) ? new Error("an interim response has a body") : undefined;
+}
+
 function idleLimitOf(head: ResponseHead): number {
     if (headerValue(head, "connection")?.toLowerCase().includes("close") === true || head.isCloseDelimited) {
         return 0;
@@ -214,8 +235,14 @@
                 destroy();
                 return false;
             }
+            const error = findStatusError(head);
+            if (error !== undefined) {
+                skipping = false;
+                fail("garbled", "the target sent an invalid response", error);
+                return false;
+            }
             const responseId = headerValue(head, options.requestIdHeader);
-            skipping = head.status < 200 || responseId !== undefined && responseId !== current.request.id;
+            skipping = isInterim(head) || responseId !== undefined && responseId !== current.request.id;
             if (skipping) {
                 headsBeforeResponse += 1;
                 if (head.status >= 200) {
