--- a/packages/proxy/src/forwarding.ts
+++ b/packages/proxy/src/forwarding.ts
@@ -59,6 +59,14 @@
     headersMs: number;
 }
 
+/** Largest status of a final response. */
+const maxStatus = 599;
+
+/** Returns whether a response precedes the final one; a switch of protocols is never requested. */
+function isInterim(status: number): boolean {
+    return status >= 100 && status < 200 && status !== 101;
+}
+
 function parseRetryAfterMs(received: IncomingHttpHeaders): number | undefined {
     const seconds = Number(received["retry-after"] ?? Number.NaN);
     return Number.isFinite(seconds) && seconds >= 0 ? seconds * 1000 : undefined;
@@ -249,7 +257,14 @@
                 startedAt = clock.now();
             },
             onResponseStart(_, status, received) {
-                if (settled || status < 200) {
+                if (settled || isInterim(status)) {
+                    return;
+                }
+                if (status < 200 || status > maxStatus) {
+                    abortAttempt(
+                        attemptOutcome.reset,
+                        createProblem("target_reset", "the target sent an invalid status"),
+                    );
                     return;
                 }
                 const responseId = received[callerHeader.requestId];
--- a/test/proxy/forwarding.test.ts
+++ b/test/proxy/forwarding.test.ts
@@ -336,3 +336,33 @@
         expect(await response.text()).toBe(large);
     });
 });
+
+describe("a response whose status is none", () => {
+    const { open, target } = useRawTargets();
+
+    // Guards against a failing target whose status line has no status: it was passed on, or waited for until the deadline.
+    it.each([
+        ["000", "ok"],
+        ["000", ""],
+        ["099", "ok"],
+        ["099", ""],
+        ["100", "ok"],
+        ["101", "ok"],
+        ["199", "ok"],
+        ["600", "ok"],
+        ["600", ""],
+        ["999", "ok"],
+    ])("is a failure of the target: %s with the body '%s'", async (status, body) => {
+        const failing = await target(socket => socket.write(rawResponse(body, `${status} S`)));
+        const fixture = await startProxy([failing.origin]);
+        open.push(fixture);
+        const response = await fetch(`${fixture.url}/orders`, {
+            method: "POST",
+            body: "order",
+            headers: { authorization: `Bearer ${fixture.key}` },
+        });
+        expect([response.status, response.headers.get("request-outcome")]).toEqual([502, "unknown"]);
+        expect(await response.json()).toMatchObject({ code: "target_reset" });
+        expect(failing.received).toHaveLength(1);
+    });
+});
