--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,15 +15,19 @@
 import { setMaxListeners } from "node:events";
 import { createServer } from "node:http";
 import type { Server as Listener } from "node:net";
+import { createBoundedServer } from "./bounded-server";
 import { createCallerConnections } from "./caller-connections";
 import { createCallerServer } from "./caller-server";
+import { createChunkPacer } from "./chunk-pacing";
 import { createConfigurationState } from "./configuration-state";
 import { createCopyListener } from "./copy-server";
+import { defaultMaxDescriptors, divideDescriptors } from "./descriptor-shares";
 import { createEvacuations } from "./evacuations";
 import { createIdleLimits } from "./idle-limits";
 import { createLimitDecisions } from "./limit-decisions";
 import { createLimitSummary, limitSummaryIntervalMs } from "./limit-summary";
 import { listen } from "./listen";
+import { budgetBytes, createMemoryBudget, defaultMemoryMb, memoryUse } from "./memory-budget";
 import { createMetrics } from "./metrics";
 import type { PlatformPort } from "./platform-port";
 import { createRateLimits } from "./rate-limits";
@@ -52,6 +56,9 @@
 
 const connectTimeoutMs = 300;
 const connectionCheckIntervalMs = 2_000;
+/** Interval in milliseconds of the check for callers that do not take their responses, and their time before the first configuration. */
+const stalledCheckIntervalMs = 1_000;
+const firstIdleTimeoutMs = 15_000;
 /** Minimum change of a total of retries that is reported to other instances; each request adds a fraction of a retry. */
 const minRetryTotalChange = 0.5;
 /** Tokens by which another instance's total falls before a line is written; requests that have not run put single ones back. */
@@ -75,12 +82,15 @@
     const log = createDecisionLog({ instance: settings.instance, level: settings.logLevel });
     let inForce = settings;
     let stopTimes: StopTimes | undefined;
-    const connections = createCallerConnections();
+    const budget = createMemoryBudget(budgetBytes(settings.memoryMb ?? defaultMemoryMb));
+    const descriptors = divideDescriptors(settings.maxDescriptors ?? defaultMaxDescriptors);
+    const connections = createCallerConnections({ budget, maxConnections: descriptors.callers, log });
 
     const pool = createConnectionPool({
         now,
         connectTimeoutMs,
         requestIdHeader: platform.headers.requestId,
+        maxConnections: descriptors.targets,
         keepsConnections: id => directory.isActive(id),
     });
     const directory = createTargetDirectory({
@@ -137,6 +147,12 @@
         connections_opened: () => pool.openedCount,
         requests_running: () => connections.pendingCount,
         store_era: () => streams.era.current,
+        caller_connections: () => connections.openCount,
+        target_connections: () => pool.openCount,
+        memory_budget_bytes: () => budget.totalBytes,
+        ...Object.fromEntries(
+            Object.values(memoryUse).map(use => [`memory_${use}_bytes`, () => budget.usedBytes(use)]),
+        ),
         store_answer_age_seconds: () => (now() - streams.lastResponseAt()) / 1_000,
     });
     const configuration = createConfigurationState({
@@ -219,6 +235,9 @@
     });
     const flow = createRequestFlow({
         connections,
+        budget,
+        pacer: createChunkPacer(now),
+        maxRunning: descriptors.running,
         pool,
         targetTracker,
         idleLimits,
@@ -245,17 +264,21 @@
         },
     });
     const isReady = () => stopTimes === undefined && canServe();
-    const readiness = createServer((incoming, outgoing) => {
+    const otherListener = {
+        maxConnections: descriptors.otherListener,
+        dropped: () => log.stateChange("other_listener_at_limit", {}),
+    };
+    const readiness = createBoundedServer((incoming, outgoing) => {
         outgoing.writeHead(incoming.url === platform.readinessPath && isReady() ? 200 : 503).end();
-    });
+    }, otherListener);
     const peerServer = createServer(createCopyListener(streams.copies));
-    const metricsServer = createServer((incoming, outgoing) => {
+    const metricsServer = createBoundedServer((incoming, outgoing) => {
         if (incoming.url !== settings.metrics.path) {
             outgoing.writeHead(404).end();
             return;
         }
         void metrics.render().then(text => outgoing.writeHead(200, { "content-type": "text/plain" }).end(text));
-    });
+    }, otherListener);
 
     const seedHosts = () => inForce.seeds.map(seed => splitAddress(seed).host);
     const addSeeds = () => seedHosts().forEach(mesh.addPeer);
@@ -282,6 +305,11 @@
     await listen(peerServer, settings.peers);
     await listen(metricsServer, `${settings.address}:${settings.metrics.port}`);
     const connectionCheck = setInterval(() => pool.closeExpiredConnections(), connectionCheckIntervalMs);
+    const stalledCheck = setInterval(() => {
+        const { idleTimeoutMs } = configuration.current()?.configuration.limits
+            ?? { idleTimeoutMs: firstIdleTimeoutMs };
+        connections.closeStalled(now(), idleTimeoutMs);
+    }, stalledCheckIntervalMs);
     const summarizeState = createStateSummary({
         log,
         targetTracker,
@@ -316,6 +344,7 @@
         await stopServing({ server: callers.server, connections, clock, log, times });
         stopping.abort();
         clearInterval(connectionCheck);
+        clearInterval(stalledCheck);
         clearInterval(summaryTimer);
         clearInterval(limitSummaryTimer);
         await Promise.all(tasks);
