--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -183,6 +183,7 @@
             now,
             runningSince: limitDecisions.runningSince,
             candidates: limitDecisions.candidates,
+            hasOthers: () => hasSeeds(),
             contactShare: () => mesh.contactShare(),
         }),
         service: name => configuration.current()?.services.get(name),
@@ -228,6 +229,7 @@
     });
 
     const seedHosts = () => inForce.seeds.map(seed => splitAddress(seed).host);
+    const hasSeeds = () => seedHosts().some(host => host !== settings.address);
     const addSeeds = () => seedHosts().forEach(mesh.addPeer);
 
     function reload(read: Result<GatewaySettings, InvalidSettings>): void {
@@ -269,7 +271,7 @@
             random,
             instance: settings.instance,
             address: settings.address,
-            hasSeeds: seedHosts().some(host => host !== settings.address),
+            hasSeeds: hasSeeds(),
             isDue: streams.isReader,
             addPeer: mesh.addPeer,
         }, stopping.signal),
--- a/packages/limits/src/cold-shares.ts
+++ b/packages/limits/src/cold-shares.ts
@@ -28,6 +28,8 @@
     runningSince(): number;
     /** Returns the instances in contact, this one included. */
     candidates(): readonly OwnerCandidate[];
+    /** Returns whether other instances are configured, in contact or not. */
+    hasOthers(): boolean;
     /** Returns the share of the known instances that are in contact, from 0 to 1. */
     contactShare(): number;
 }
@@ -82,7 +84,9 @@
         const ageMs = at - runningSince;
         const isSettled = ageMs >= settledAgeMs
             || ageMs >= simultaneousAgeMs && startedTogether(runningSince, candidates);
-        return isSettled && contactShare() >= minContactShare;
+        // Instances that do not respond are forgotten after a while, so that a lone one has a full contact share again.
+        const isCutOff = candidates.length <= 1 && options.hasOthers();
+        return isSettled && !isCutOff && contactShare() >= minContactShare;
     }
 
     function isSender(target: string, at: number): boolean {
--- a/test/limits/cold-shares.test.ts
+++ b/test/limits/cold-shares.test.ts
@@ -82,7 +82,14 @@
 });
 
 describe("an instance", () => {
-    function create(fields: { contactShare?: number; ownStart?: number; others?: readonly number[]; }) {
+    interface View {
+        contactShare?: number;
+        ownStart?: number;
+        others?: readonly number[];
+        hasOthers?: boolean;
+    }
+
+    function create(fields: View) {
         const candidates: OwnerCandidate[] = [
             { address: "self", runningSince: fields.ownStart ?? 0 },
             ...(fields.others ?? [0]).map((runningSince, index) => ({ address: `other-${index}`, runningSince })),
@@ -93,6 +100,7 @@
             now: () => now,
             runningSince: () => fields.ownStart ?? 0,
             candidates: () => candidates,
+            hasOthers: () => fields.hasOthers ?? true,
             contactShare: () => fields.contactShare ?? 1,
         });
         return { shares, advance: (ms: number) => now += ms };
@@ -127,12 +135,17 @@
     // Guards against requests of instances that rank themselves among the few others that they know.
     test.each([
         ["with a low contact share", { contactShare: 0.89 }],
+        ["that has lost all others for so long that it has forgotten them", { others: [] }],
         ["that has just started while others run", { ownStart: 16_000 }],
         ["that has just started with the whole fleet", { ownStart: 19_000, others: [19_000] }],
     ])("%s sends nothing", (_, fields) => {
         expect(create(fields).shares.mayTake("t", perSecond)).toBe(false);
     });
 
+    test("that is the only one of its deployment sends", () => {
+        expect(create({ others: [], hasOthers: false }).shares.mayTake("t", perSecond)).toBe(true);
+    });
+
     test("that started with the whole fleet sends before the others would count it as settled", () => {
         expect(create({ ownStart: 17_500, others: [17_400] }).shares.mayTake("t", perSecond)).toBe(true);
     });
--- a/test/limits/fleet-simulation.ts
+++ b/test/limits/fleet-simulation.ts
@@ -182,6 +182,7 @@
             now: () => now,
             runningSince: () => runningSince({ startedAt, group }),
             candidates: () => candidates(instance.address, runningSince({ startedAt, group }), peers),
+            hasOthers: () => true,
             contactShare: () => peers.contactShare(now),
         });
         instance.process = {
