--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -227,6 +227,7 @@
             now,
             runningSince: limitDecisions.runningSince,
             candidates: limitDecisions.candidates,
+            hasOthers: () => hasSeeds(),
             contactShare: () => mesh.contactShare(),
         }),
         service: name => configuration.current()?.services.get(name),
@@ -281,6 +282,7 @@
     }, otherListener);
 
     const seedHosts = () => inForce.seeds.map(seed => splitAddress(seed).host);
+    const hasSeeds = () => seedHosts().some(host => host !== settings.address);
     const addSeeds = () => seedHosts().forEach(mesh.addPeer);
 
     function reload(read: Result<GatewaySettings, InvalidSettings>): void {
@@ -330,7 +332,7 @@
             era: streams.era,
             instance: settings.instance,
             address: settings.address,
-            hasSeeds: seedHosts().some(host => host !== settings.address),
+            hasSeeds: hasSeeds(),
             isDue: streams.isReader,
             addPeer: mesh.addPeer,
         }, stopping.signal),
