--- a/packages/gateway/src/target-sets.ts
+++ b/packages/gateway/src/target-sets.ts
@@ -8,13 +8,13 @@
 
 /** Target sets of all services. */
 export interface TargetSets {
-    /** Returns the targets of a service in the order of preference; undefined for a service without a set. */
-    ranked(service: string, targets: readonly ListedTarget[]): ListedTarget[] | undefined;
+    /**
+     * Returns the targets of a service in the order of preference for a request; undefined for a service without a set.
+     * `inProgress` is the number of requests of this instance that are at these targets.
+     */
+    ranked(service: string, targets: readonly ListedTarget[], inProgress: number): ListedTarget[] | undefined;
     /** Marks the ranked candidates of a service that are outside the set or need a new connection. */
     mark(service: string, ranked: readonly MarkedCandidate[], maxIdleMs: number): void;
-    /** Records the start and the end of a request to a service. */
-    begin(service: string): void;
-    end(service: string): void;
 }
 
 /** A candidate with what the marks depend on. */
@@ -38,11 +38,7 @@
     fleetRevision: number;
     setSize: number;
     ranking: TargetRanking;
-}
-
-interface ServiceLoad {
-    running: number;
-    /** Moving average of the requests in progress when another one starts. */
+    /** Moving average of the requests in progress when another one is sent. */
     concurrent: number;
 }
 
@@ -66,20 +62,10 @@
 /** Creates the sets without rankings. */
 export function createTargetSets(parts: TargetSetParts): TargetSets {
     const sets = new Map<string, ServiceSet>();
-    const loads = new Map<string, ServiceLoad>();
     let fleet: readonly DomainMember[] = [];
     let fleetRevision = 0;
     let fleetCheckedAt = -Infinity;
 
-    function loadOf(service: string): ServiceLoad {
-        let load = loads.get(service);
-        if (load === undefined) {
-            load = { running: 0, concurrent: 0 };
-            loads.set(service, load);
-        }
-        return load;
-    }
-
     function updateFleet(): void {
         if (parts.now() - fleetCheckedAt < fleetCheckIntervalMs) {
             return;
@@ -92,28 +78,32 @@
         }
     }
 
-    function setOf(service: string, targets: readonly ListedTarget[]): ServiceSet {
+    function setOf(service: string, targets: readonly ListedTarget[], inProgress: number): ServiceSet {
         updateFleet();
-        const setSize = targetSetSize(loadOf(service).concurrent);
         const known = sets.get(service);
+        const average = known?.concurrent ?? 0;
+        const concurrent = average + newestRequestWeight * (inProgress - average);
+        const setSize = targetSetSize(concurrent);
         if (
             known !== undefined && known.fleetRevision === fleetRevision
             && Math.abs(known.setSize - setSize) < minSizeChange && isSameList(known.targets, targets)
         ) {
+            known.concurrent = concurrent;
             return known;
         }
-        const set = { targets, fleetRevision, setSize, ranking: rankTargets(parts.self(), fleet, targets, setSize) };
+        const ranking = rankTargets(parts.self(), fleet, targets, setSize);
+        const set = { targets, fleetRevision, setSize, ranking, concurrent };
         sets.set(service, set);
         return set;
     }
 
     return {
-        ranked(service, targets) {
+        ranked(service, targets, inProgress) {
             if (targets.length <= maxUnrankedTargets) {
                 sets.delete(service);
                 return undefined;
             }
-            return setOf(service, targets).ranking.order.map(position => targets[position]!);
+            return setOf(service, targets, inProgress).ranking.order.map(position => targets[position]!);
         },
         mark(service, ranked, maxIdleMs) {
             const { setSize, ranking } = sets.get(service)!;
@@ -124,14 +114,5 @@
                     && !parts.hasIdleConnection(candidate.target.id, maxIdleMs);
             });
         },
-        begin(service) {
-            const load = loadOf(service);
-            load.concurrent += newestRequestWeight * (load.running - load.concurrent);
-            load.running += 1;
-        },
-        end(service) {
-            const load = loadOf(service);
-            load.running = Math.max(0, load.running - 1);
-        },
     };
 }
--- a/packages/gateway/src/target-tracker.ts
+++ b/packages/gateway/src/target-tracker.ts
@@ -225,7 +225,8 @@
         candidates(service, excluded, maxIdleMs = 0) {
             const at = now();
             const usable = usableTargets(service);
-            const ranked = targetSets?.ranked(service, usable);
+            const inProgress = usable.reduce((sum, { id }) => sum + entryOf(id).load.inFlight, 0);
+            const ranked = targetSets?.ranked(service, usable, inProgress);
             const candidates = (ranked ?? usable)
                 .filter(target => !excluded.has(target.id))
                 .map(target => candidateOf(target, at));
@@ -243,12 +244,8 @@
             const entry = entryOf(target);
             entry.load.begin();
             entry.lastOutcomeAt = now();
-            targetSets?.begin(directory.get(target)?.service ?? "");
-        },
-        end(target) {
-            entryOf(target).load.end();
-            targetSets?.end(directory.get(target)?.service ?? "");
         },
+        end: target => entryOf(target).load.end(),
         utilisation: target => utilisationOf(target, now()),
         observe(target, kind) {
             const before = entryOf(target).health.unhealthyProbability(now());
--- a/packages/placement/src/target-set.ts
+++ b/packages/placement/src/target-set.ts
@@ -98,8 +98,9 @@
 
 /**
  * Ranks the targets of a service for an instance: first those that it has to keep in use, then those of its failure domain
- * unless the domain has few targets for its instances, then the others. Each target is kept in use by the instances of its failure domain with the highest weights, as many as
- * give the instances sets of the usual size; instances with the same view of the fleet cover all targets without a message.
+ * unless the domain has few targets for its instances, then the others. Each target is kept in use by the instances of its
+ * failure domain with the highest weights, as many as give the instances sets of the usual size. Instances with the same view
+ * of the fleet cover all targets without a message.
  */
 export function rankTargets(
     self: DomainMember,
