--- a/packages/gateway/src/attempt-run.ts
+++ b/packages/gateway/src/attempt-run.ts
@@ -19,6 +19,7 @@
 import type { OutgoingRequest } from "@trefoilladder/upstream";
 import { startAttempt } from "./attempt";
 import type { Attempt, AttemptParts, AttemptResult } from "./attempt";
+import type { RequestWork } from "./service-work";
 
 /** How the attempts of a request ended. */
 export type RunResult =
@@ -67,6 +68,10 @@
     maxBufferedBytes: number;
     /** Typical processing time of such a request at a target, in milliseconds; undefined while unknown. */
     typicalMs: number | undefined;
+    /** Expected work of the request; undefined when targets are chosen by the number of requests. */
+    work?: RequestWork | undefined;
+    /** Called with the service time of the request at a target where no request waited. */
+    served?(serviceMs: number): void;
 }
 
 /**
@@ -123,7 +128,7 @@
     }
 
     function startNextAttempt(): boolean {
-        const candidates = parts.targetTracker.candidates(options.service, excluded);
+        const candidates = parts.targetTracker.candidates(options.service, excluded, options.work);
         const canRetry = route.idempotent && options.bodyBuffered && arrivals + 1 < route.maxAttempts
             && retryBudget.hasTokens();
         const mayProbe = canRetry && arrivals === 0 && retryBudget.hasTokens(probeReserveShare);
@@ -145,6 +150,8 @@
             request: options.requestFor(target),
             maxIdleMs: route.idempotent ? idempotentMaxIdleMs : nonIdempotentMaxIdleMs,
             typicalMs: options.typicalMs,
+            workMs: options.work?.serviceMs,
+            served: serviceMs => options.served?.(serviceMs),
             maxBufferedBytes: options.maxBufferedBytes,
             sent() {
                 arrivals += 1;
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -56,6 +56,10 @@
     maxIdleMs: number;
     /** Typical processing time of such a request at a target, in milliseconds; undefined while unknown. */
     typicalMs: number | undefined;
+    /** Expected service time of the request in milliseconds; undefined while unknown or unused. */
+    workMs: number | undefined;
+    /** Called with the service time of a request at a target where no request waited. */
+    served(serviceMs: number): void;
     /** Bytes of a response that are buffered before it is streamed. */
     maxBufferedBytes: number;
     sent(): void;
@@ -163,7 +167,7 @@
         options.done({ kind: "ended", end: attemptEnd.unknown, why: "answer_too_long" });
     }
 
-    targetTracker.begin(target.id);
+    targetTracker.begin(target.id, options.workMs);
     const request: OutgoingRequest = { ...options.request, canBeSent: () => parts.directory.isServing(target) };
     const exchange: Exchange = parts.pool.exchange(target, options.maxIdleMs, request, {
         sent() {
@@ -181,6 +185,11 @@
             load = readLoad(received, headerNames);
             if (load !== undefined) {
                 targetTracker.reportLoad(target.id, load);
+                if (
+                    kind === responseKind.usable && received.status < 300 && load.waiting === 0 && sentAt !== undefined
+                ) {
+                    options.served(now() - sentAt);
+                }
             }
         },
         data(chunk) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -25,6 +25,7 @@
 import { createRateLimits } from "./rate-limits";
 import { registerInstance } from "./registration";
 import { createRequestFlow } from "./request-flow";
+import { createRequestWorks } from "./request-works";
 import { createRouteProfiles } from "./route-profile";
 import { createServiceStates } from "./service-states";
 import type { GatewaySettings, InvalidSettings } from "./settings";
@@ -100,10 +101,12 @@
     const rateLimits = createRateLimits(limitGroup, now, log);
     const limitDecisions = createLimitDecisions({ group: limitGroup, mesh: () => mesh, now, incarnation, log });
     const profiles = createRouteProfiles();
+    const requestWorks = settings.expectedWork === true ? createRequestWorks() : undefined;
     const metrics = createMetrics(log, limitGroup, now, {
         configuration_version: () => configuration.version(),
         targets: () => directory.size,
         contact_share: () => mesh.contactShare(),
+        expected_work_error: () => requestWorks?.meanError() ?? 0,
         connections_opened: () => pool.openedCount,
         requests_running: () => connections.pendingCount,
         store_answer_age_seconds: () => (now() - streams.lastResponseAt()) / 1_000,
@@ -177,6 +180,7 @@
         rateLimits,
         limitDecisions,
         profiles,
+        requestWorks,
         serviceState: createServiceStates(settings.budget, retryBuckets, now),
         metrics,
         stopTimes: () => stopTimes,
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -25,10 +25,12 @@
 import { sendRefusal } from "./refusal-response";
 import { maxBufferedRequestBytes, readBody, streamBody } from "./request-body";
 import type { BodyProblem, RequestBody } from "./request-body";
+import type { RequestWorks, WorkedRequest } from "./request-works";
 import { impliesNotRun } from "./response-check";
 import { breakOffResponse, sendResponse, streamResponse } from "./response-relay";
 import type { createRouteProfiles } from "./route-profile";
 import type { ServiceState } from "./service-states";
+import type { RequestWork } from "./service-work";
 import { canFinish } from "./stop";
 import type { StopTimes } from "./stop";
 
@@ -41,6 +43,8 @@
     rateLimits: RateLimits;
     limitDecisions: Pick<LimitDecisions, "take">;
     profiles: ReturnType<typeof createRouteProfiles>;
+    /** Expected work of requests; undefined when the setting is off. */
+    requestWorks: RequestWorks | undefined;
     serviceState(service: string): ServiceState;
     metrics: Metrics;
     /** Returns the times of a planned stop once it has begun; the last response on a connection closes it from then on. */
@@ -87,6 +91,21 @@
     return (buffered?.length ?? contentLength ?? maxBufferedRequestBytes) / 1_024;
 }
 
+/** Returns the properties of a request that its work depends on. */
+function workedRequest(
+    admitted: Pick<AdmittedRequest, "request" | "route" | "organisation" | "service">,
+): WorkedRequest {
+    const { request, route, organisation, service } = admitted;
+    return {
+        service,
+        route: route.name,
+        method: request.method,
+        bodyBytes: request.contentLength,
+        organisation: organisation?.name,
+        latencyObjectiveMs: route.latencyObjectiveMs,
+    };
+}
+
 /** Creates the request listener of the callers' server. */
 export function createRequestFlow(parts: FlowParts): (incoming: IncomingMessage, outgoing: ServerResponse) => void {
     const { headerNames, log, now } = parts;
@@ -316,6 +335,8 @@
             bodyBuffered: body.buffered !== undefined,
             endAt: admitted.endAt,
             lateAfterMs: profile.latency.lateAfterMs(route.latencyObjectiveMs),
+            work: takeWork(admitted),
+            served: serviceMs => parts.requestWorks?.record(workedRequest(admitted), serviceMs),
             requestFor: target => outgoingRequest(admitted, body, target.id, () => breakOffResponse(outgoing)),
             maxBufferedBytes: maxBufferedResponseBytes,
         });
@@ -328,6 +349,13 @@
         finish(incoming, outgoing, admitted, run, await run.result);
     }
 
+    /** Counts a request and returns its expected work; undefined when it is unknown or not used. */
+    function takeWork(admitted: AdmittedRequest): RequestWork | undefined {
+        const worked = workedRequest(admitted);
+        parts.requestWorks?.count(worked);
+        return parts.requestWorks?.of(worked);
+    }
+
     function ageOf({ arrivedAt }: AdmittedRequest): number {
         return Math.round(now() - arrivedAt);
     }
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -27,6 +27,8 @@
     /** Fleet-wide budget of retries for each service: retries per request, and a reserve beyond that ratio. */
     budget: { ratio: number; reserve: number; };
     logLevel: "debug" | "info" | "warn" | "error";
+    /** Whether targets are chosen and requests admitted by expected work; false when absent. */
+    expectedWork?: boolean;
 }
 
 /** Settings that are missing or have the wrong type. */
@@ -42,6 +44,7 @@
 const isAddress: Check = value => typeof value === "string" && /^[\d.]+:\d{1,5}$/.test(value);
 const isNumber: Check = value => typeof value === "number" && Number.isFinite(value) && value >= 0;
 const isPort: Check = value => Number.isInteger(value) && (value as number) > 0 && (value as number) < 65_536;
+const isOptionalBoolean: Check = value => value === undefined || typeof value === "boolean";
 const isLevel: Check = value => ["debug", "info", "warn", "error"].includes(value as string);
 
 /** Expected type of each setting, by its path. */
@@ -65,6 +68,7 @@
     "budget.ratio": { check: isNumber, expected: "a number of 0 or more" },
     "budget.reserve": { check: isNumber, expected: "a number of 0 or more" },
     "logLevel": { check: isLevel, expected: "debug, info, warn or error" },
+    "expectedWork": { check: isOptionalBoolean, expected: "true or false" },
 };
 
 function valueAt(document: unknown, path: string): unknown {
--- a/packages/gateway/src/target-tracker.ts
+++ b/packages/gateway/src/target-tracker.ts
@@ -7,20 +7,25 @@
     createOutcomeBaseline,
     createTargetHealth,
     createTargetLoad,
+    createTargetPace,
     outcome,
     outcomeWeight,
 } from "@trefoilladder/placement";
 import type {
     Candidate,
+    ExpectedFinish,
     LoadReport,
     Outcome,
     OutcomeBaseline,
     ProbeCandidate,
     TargetHealth,
     TargetLoad,
+    TargetPace,
 } from "@trefoilladder/placement";
 import type { ListedTarget, TargetDirectory } from "@trefoilladder/replication";
 import type { DecisionLog } from "@trefoilladder/telemetry";
+import { createServiceWork } from "./service-work";
+import type { RequestWork } from "./service-work";
 
 /** A target that can be selected for a request. */
 export interface TargetCandidate extends Candidate, ProbeCandidate {
@@ -29,11 +34,15 @@
 
 /** Tracks the state of all targets. */
 export interface TargetTracker {
-    /** Returns the targets of a service that a request can be sent to, without the excluded ids. */
-    candidates(service: string, excluded: ReadonlySet<string>): TargetCandidate[];
+    /**
+     * Returns the targets of a service that a request can be sent to, without the excluded ids. They have an expected finish
+     * if the work of the request is given.
+     */
+    candidates(service: string, excluded: ReadonlySet<string>, work?: RequestWork): TargetCandidate[];
     /** Returns the estimated utilisation of the least used target of a service; undefined without a target. */
     leastUtilisation(service: string): number | undefined;
-    begin(target: string): void;
+    /** Counts a request to a target; `workMs` is its expected service time, if known. */
+    begin(target: string, workMs?: number): void;
     end(target: string): void;
     /** Returns the estimated utilisation of a target: its requests divided by its slots. */
     utilisation(target: ListedTarget): number;
@@ -54,6 +63,7 @@
     health: TargetHealth;
     pathHealth: TargetHealth;
     load: TargetLoad;
+    pace: TargetPace;
     /** Monotonic time in milliseconds at which any instance last received a successful response. */
     lastSuccessAt: number;
     /** Monotonic time in milliseconds at which any instance last observed an outcome, or this one last sent a request. */
@@ -70,6 +80,8 @@
 
 /** Outcomes that are evidence about the network path. */
 const pathOutcomes = new Set<Outcome>([outcome.success, outcome.late, outcome.timedOut, outcome.unreachable]);
+/** Outcomes of requests that a target has run and ended. */
+const ranOutcomes = new Set<Outcome>([outcome.success, outcome.requestFailure]);
 /** Time in milliseconds for which the average utilisation of a service is cached. */
 const averageLifetimeMs = 100;
 /** Probabilities of being unhealthy at which a target becomes suspected, and below which it becomes trusted again. */
@@ -97,6 +109,7 @@
     const entries = new Map<string, Entry>();
     const baselines = new Map<string, OutcomeBaseline>();
     const averages = new Map<string, { utilisation: number; at: number; }>();
+    const serviceWork = createServiceWork(directory, target => entryOf(target).pace);
     let pending = new Map<string, PendingReport>();
 
     function entryOf(target: string): Entry {
@@ -106,6 +119,7 @@
                 health: createTargetHealth(now()),
                 pathHealth: createTargetHealth(now()),
                 load: createTargetLoad(),
+                pace: createTargetPace(),
                 lastSuccessAt: -Infinity,
                 lastOutcomeAt: -Infinity,
                 replacedStartedAt: undefined,
@@ -168,20 +182,46 @@
         if (kind === outcome.success) {
             entry.lastSuccessAt = at;
         }
+        if (ranOutcomes.has(kind)) {
+            entry.pace.ended(count, at);
+        }
         const weight = outcomeWeight(kind, at - entry.lastSuccessAt) * count;
         const probability = entry.health.observe(kind, at, weight, updateShares(target, kind));
         updateSuspicion(target, entry, probability, kind, source);
         return probability;
     }
 
+    function applyReport(target: string, load: LoadReport): void {
+        const { load: targetLoad, pace } = entryOf(target);
+        targetLoad.report(load, now());
+        pace.report(load.running, now());
+    }
+
     function utilisationOf(target: ListedTarget, at: number): number {
         return entryOf(target.id).load.utilisation(target.slots, at, averageUtilisation(target.service, at));
     }
 
-    function candidateOf(target: ListedTarget, at: number): TargetCandidate {
+    /** Returns the expected time of a request at a target. */
+    function finishOf(target: ListedTarget, work: RequestWork, at: number): ExpectedFinish {
+        const { load } = entryOf(target.id);
+        const { meanWorkMs = work.serviceMs, slowdown } = serviceWork.at(target, at);
+        const peerUtilisation = averageUtilisation(target.service, at);
+        const reserved = serviceWork.reserved(target.service, work.separation, at);
+        return {
+            waitMs: load.waitMs({ slots: target.slots, peerUtilisation, meanWorkMs }, at),
+            serviceMs: work.serviceMs * slowdown,
+            objectiveMs: work.objectiveMs,
+            slowdown,
+            isTight: reserved.size === 0 ? undefined : work.isTight,
+            isReserved: reserved.has(target.id),
+        };
+    }
+
+    function candidateOf(target: ListedTarget, at: number, work: RequestWork | undefined): TargetCandidate {
         const { health, pathHealth, lastOutcomeAt } = entryOf(target.id);
         return {
             target,
+            finish: work === undefined ? undefined : finishOf(target, work, at),
             unhealthyProbability: health.unhealthyProbability(at),
             pathFailureProbability: pathHealth.unhealthyProbability(at),
             utilisation: utilisationOf(target, at),
@@ -198,20 +238,20 @@
     }
 
     return {
-        candidates(service, excluded) {
+        candidates(service, excluded, work) {
             const at = now();
             return usableTargets(service)
                 .filter(target => !excluded.has(target.id))
-                .map(target => candidateOf(target, at));
+                .map(target => candidateOf(target, at, work));
         },
         leastUtilisation(service) {
             const at = now();
             const utilisations = usableTargets(service).map(target => utilisationOf(target, at));
             return utilisations.length === 0 ? undefined : Math.min(...utilisations);
         },
-        begin(target) {
+        begin(target, workMs) {
             const entry = entryOf(target);
-            entry.load.begin();
+            entry.load.begin(workMs);
             entry.lastOutcomeAt = now();
         },
         end: target => entryOf(target).load.end(),
@@ -229,7 +269,7 @@
             }
         },
         reportLoad(target, load) {
-            entryOf(target).load.report(load, now());
+            applyReport(target, load);
             pendingReportOf(target).load = load;
         },
         markReplaced(target) {
@@ -247,7 +287,7 @@
             }
             if (load !== undefined) {
                 const [running, waiting, slots] = load;
-                entryOf(target).load.report({ running, waiting, slots }, now());
+                applyReport(target, { running, waiting, slots });
             }
         },
         collectObservations() {
--- a/packages/placement/src/placement.ts
+++ b/packages/placement/src/placement.ts
@@ -6,6 +6,9 @@
  * lowest one is chosen, so that instances with the same view do not all choose the same target.
  */
 
+import { loadCost } from "./load-cost";
+import type { ExpectedFinish } from "./load-cost";
+
 /** State of a target that the choice depends on. */
 export interface Candidate {
     /** Probability that the target is unhealthy. */
@@ -14,6 +17,8 @@
     pathFailureProbability: number;
     /** Requests at the target divided by its slots; above 1, requests wait there. */
     utilisation: number;
+    /** Expected time of the request at the target; absent when targets are chosen by the number of requests. */
+    finish?: ExpectedFinish | undefined;
     isCold: boolean;
     /** Whether the target is in this instance's failure domain. */
     isSameDomain: boolean;
@@ -36,10 +41,6 @@
  * targets with recent successes, and retryable requests probe the other targets.
  */
 const finalFailureCost = 2;
-/** Cost of a target whose slots are all in use; below that, the cost grows with the square of the utilisation. */
-const fullUtilisationCost = 0.06;
-/** Cost of as many queued requests as the target has slots. */
-const queueCost = 0.5;
 /** Cost of a cold target, which is slow in its first seconds. */
 const coldCost = 0.06;
 /** Cost of a request to another failure domain, and the additional cost of each kilobyte of its body and response. */
@@ -56,11 +57,8 @@
     const failureCost = request.isRetryable ? retryableFailureCost : finalFailureCost;
     const healthyProbability = (1 - candidate.unhealthyProbability) * (1 - candidate.pathFailureProbability);
     const failureTerm = (1 - healthyProbability) * unhealthyFailureShare * failureCost;
-    const { utilisation } = candidate;
-    const busyShare = Math.min(1, utilisation);
-    const loadTerm = fullUtilisationCost * busyShare ** 2 + queueCost * Math.max(0, utilisation - 1);
     const domainTerm = candidate.isSameDomain ? 0 : crossDomainCost + crossDomainKbCost * request.transferKb;
-    return failureTerm + loadTerm + domainTerm + (candidate.isCold ? coldCost : 0);
+    return failureTerm + loadCost(candidate) + domainTerm + (candidate.isCold ? coldCost : 0);
 }
 
 /** Chooses a candidate of low cost; undefined without candidates. `random` returns numbers from 0 (included) to 1. */
