--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -35,6 +35,7 @@
 import type { StopTimes } from "./stop";
 import { createStoreStreams } from "./store-streams";
 import { createTargetTracker } from "./target-tracker";
+import { createWorkAdmissions } from "./work-admission";
 
 /** A running gateway process. */
 export interface Gateway {
@@ -181,6 +182,7 @@
         limitDecisions,
         profiles,
         requestWorks,
+        workAdmissions: requestWorks === undefined ? undefined : createWorkAdmissions({ now, random }),
         serviceState: createServiceStates(settings.budget, retryBuckets, now),
         metrics,
         stopTimes: () => stopTimes,
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -13,7 +13,8 @@
 /** Counters and histograms of the request path. */
 export interface Metrics {
     recordResponse(labels: ResponseLabels, ms: number): void;
-    countRefusal(code: string): void;
+    /** Counts a refusal; `priority` is that of the request if the refusal depends on it. */
+    countRefusal(code: string, priority?: number): void;
     /** Renders all metrics in the Prometheus text format. */
     render(): Promise<string>;
 }
@@ -60,6 +61,12 @@
         labelNames: ["code"],
         registers,
     });
+    const classRefusals = new Counter({
+        name: "trefoilladder_class_refusals_total",
+        help: "Requests refused by expected work, by priority",
+        labelNames: ["priority"],
+        registers,
+    });
     new Gauge({
         name: "trefoilladder_events_total",
         help: "Logged events, with those that the log left out",
@@ -114,7 +121,12 @@
             const labels = { priority: route.priority, idempotent: String(route.idempotent), answer };
             latencies.observe(labels, ms / 1_000);
         },
-        countRefusal: code => refusals.inc({ code }),
+        countRefusal(code, priority) {
+            refusals.inc({ code });
+            if (priority !== undefined) {
+                classRefusals.inc({ priority });
+            }
+        },
         render() {
             updateLimitMetrics();
             return registry.metrics();
--- a/packages/gateway/src/refusal.ts
+++ b/packages/gateway/src/refusal.ts
@@ -29,13 +29,16 @@
     retryAfterSeconds: number | undefined;
     /** Values that led to the refusal, for the log. */
     inputs: LogFields;
+    /** Priority of the request; only for refusals that depend on it. */
+    priority: number | undefined;
 }
 
 /** Creates a refusal. */
 export function refusal(
     code: RefusalCode,
     status: number,
-    options: { retryAfterSeconds?: number; inputs?: LogFields; } = {},
+    options: { retryAfterSeconds?: number; inputs?: LogFields; priority?: number; } = {},
 ): Refusal {
-    return { code, status, retryAfterSeconds: options.retryAfterSeconds, inputs: options.inputs ?? {} };
+    const { retryAfterSeconds, inputs = {}, priority } = options;
+    return { code, status, retryAfterSeconds, inputs, priority };
 }
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -33,6 +33,7 @@
 import type { RequestWork } from "./service-work";
 import { canFinish } from "./stop";
 import type { StopTimes } from "./stop";
+import type { WorkAdmission, WorkedAdmission } from "./work-admission";
 
 /** Dependencies of the request path. */
 export interface FlowParts extends RunParts {
@@ -45,6 +46,8 @@
     profiles: ReturnType<typeof createRouteProfiles>;
     /** Expected work of requests; undefined when the setting is off. */
     requestWorks: RequestWorks | undefined;
+    /** Returns the admission of a service's requests by work; undefined when the setting is off. */
+    workAdmissions: ((service: string) => WorkAdmission) | undefined;
     serviceState(service: string): ServiceState;
     metrics: Metrics;
     /** Returns the times of a planned stop once it has begun; the last response on a connection closes it from then on. */
@@ -157,6 +160,10 @@
             const service = chooseService(route);
             const endAt = arrivedAt + Math.min(request.deadlineMs, route.timeoutMs) - responseMarginMs;
             const admitted = { request, route, organisation, service, version, arrivedAt, endAt };
+            const workAdmission = workAdmissionOf(admitted, endAt - arrivedAt);
+            if (workAdmission !== undefined) {
+                return parts.workAdmissions!(service).admit(workAdmission).map(() => admitted);
+            }
             yield* admitLoad({
                 remainingMs: endAt - arrivedAt,
                 priority: organisation?.priority ?? route.priority,
@@ -170,6 +177,33 @@
         });
     }
 
+    /** Returns the inputs of the admission by work; undefined while the work is unknown or not used, or without a target. */
+    function workAdmissionOf(
+        admitted: Omit<AdmittedRequest, "version">,
+        remainingMs: number,
+    ): WorkedAdmission | undefined {
+        const { route, organisation, service } = admitted;
+        const work = parts.requestWorks?.of(workedRequest(admitted));
+        if (work === undefined || parts.targetTracker.leastUtilisation(service) === undefined) {
+            return undefined;
+        }
+        return {
+            remainingMs,
+            priority: organisation?.priority ?? route.priority,
+            organisation: organisation?.name,
+            work,
+            candidates: own => parts.targetTracker.candidates(service, new Set(), own),
+        };
+    }
+
+    /** Returns the Retry-After in seconds of a request that no target has run. */
+    function notRunRetrySeconds(admitted: AdmittedRequest, state: ServiceState): number {
+        const admission = workAdmissionOf(admitted, admitted.endAt - now());
+        return admission === undefined
+            ? retryAfterSeconds(state.refusedShare(), parts.random)
+            : parts.workAdmissions!(admitted.service).rejectedRetryAfter(admission);
+    }
+
     /** Refuses a request that the planned stop would interrupt; other instances can serve it at once. */
     function admitDuringStop(typicalMs: number | undefined): Result<void, Refusal> {
         const times = parts.stopTimes();
@@ -241,7 +275,7 @@
 
     function refuse(incoming: IncomingMessage, outgoing: ServerResponse, id: string, refused: Refusal): void {
         log.request(id, "refused", { code: refused.code, status: refused.status, ...refused.inputs });
-        parts.metrics.countRefusal(refused.code);
+        parts.metrics.countRefusal(refused.code, refused.priority);
         const unread = !incoming.complete;
         sendRefusal(outgoing, refused, { headerNames, id, close: closesConnection(incoming, refused.status === 413) });
         if (unread) {
@@ -399,7 +433,7 @@
         const inputs = { ...summary(admitted, run, undefined), end: result.end, why: result.why };
         if (result.notRun) {
             const waitSeconds = Math.max(
-                retryAfterSeconds(state.refusedShare(), parts.random),
+                notRunRetrySeconds(admitted, state),
                 retryAfterKnownWaitSeconds(parts.directory.msUntilServing(admitted.service) ?? 0, parts.random),
             );
             return refusal(result.end === "not_run" ? "shed" : "unreachable", 503, {
--- a/test/gateway/fixtures.ts
+++ b/test/gateway/fixtures.ts
@@ -145,6 +145,7 @@
     isRefused?(instance: number): boolean;
     /** Time from the request to stop until the process would be killed, in seconds. */
     stopSeconds?: number;
+    expectedWork?: boolean;
     /** Addresses of instances that every instance knows at its start. */
     seeds?: string[];
 }): Promise<Fleet> {
@@ -173,6 +174,7 @@
             stopSeconds: options.stopSeconds ?? 1,
             budget: { ratio: 0.2, reserve: 60 },
             logLevel: "error",
+            expectedWork: options.expectedWork ?? false,
         };
         gateways.push(
             await startGateway(settings, {
