--- a/packages/gateway/src/attempt-run.ts
+++ b/packages/gateway/src/attempt-run.ts
@@ -20,6 +20,7 @@
 import { startAttempt } from "./attempt";
 import type { Attempt, AttemptParts, AttemptResult } from "./attempt";
 import type { IdleLimits } from "./idle-limits";
+import type { RequestWork } from "./service-work";
 import type { TargetEligibility } from "./target-eligibility";
 
 /** How the attempts of a request ended. */
@@ -72,6 +73,10 @@
     maxBufferedBytes: number;
     /** Typical processing time of such a request at a target, in milliseconds; undefined while unknown. */
     typicalMs: number | undefined;
+    /** Expected work of the request; undefined when targets are chosen by the number of requests. */
+    work?: RequestWork | undefined;
+    /** Called with the service time of the request at a target where no request waited. */
+    served?(serviceMs: number): void;
 }
 
 /** Time in milliseconds by which a timer may fire early. */
@@ -121,7 +126,7 @@
 
     function startNextAttempt(): boolean {
         const maxIdleMs = parts.idleLimits.maxIdleMs(options.service, route.idempotent);
-        const candidates = parts.targetTracker.candidates(options.service, excluded, maxIdleMs)
+        const candidates = parts.targetTracker.candidates(options.service, excluded, { maxIdleMs, work: options.work })
             .filter(({ target }) => options.eligibility?.allows(target) ?? true);
         const canRetry = route.idempotent && options.bodyBuffered && arrivals + 1 < route.maxAttempts
             && retryBudget.hasTokens();
@@ -148,6 +153,8 @@
             request: options.requestFor(target),
             maxIdleMs,
             typicalMs: options.typicalMs,
+            workMs: options.work?.serviceMs,
+            served: serviceMs => options.served?.(serviceMs),
             maxBufferedBytes: options.maxBufferedBytes,
             sent() {
                 arrivals += 1;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -33,6 +33,7 @@
 import { createRateLimits } from "./rate-limits";
 import { registerInstance } from "./registration";
 import { createRequestFlow } from "./request-flow";
+import { createRequestWorks } from "./request-works";
 import { createRouteProfiles } from "./route-profile";
 import { createServiceStates } from "./service-states";
 import type { GatewaySettings, InvalidSettings } from "./settings";
@@ -45,6 +46,7 @@
 import { createEligibility } from "./target-eligibility";
 import { createTargetSets } from "./target-sets";
 import { createTargetTracker } from "./target-tracker";
+import { createWorkAdmissions } from "./work-admission";
 
 /** A running gateway process. */
 export interface Gateway {
@@ -138,12 +140,14 @@
     const rateLimits = createRateLimits(limitGroup, now, log);
     const limitDecisions = createLimitDecisions({ group: limitGroup, mesh: () => mesh, now, incarnation, log });
     const profiles = createRouteProfiles();
+    const requestWorks = settings.expectedWork === true ? createRequestWorks() : undefined;
     const metrics = createMetrics(log, limitGroup, now, {
         configuration_version: () => configuration.version(),
         targets: () => directory.size,
         cold_targets: () => directory.coldCount(),
         evacuated_domains: () => evacuations.inForce().size,
         contact_share: () => mesh.contactShare(),
+        expected_work_error: () => requestWorks?.meanError() ?? 0,
         connections_opened: () => pool.openedCount,
         requests_running: () => connections.pendingCount,
         store_era: () => streams.era.current,
@@ -253,6 +257,8 @@
         rateLimits,
         limitDecisions,
         profiles,
+        requestWorks,
+        workAdmissions: requestWorks === undefined ? undefined : createWorkAdmissions({ now, random }),
         serviceState: createServiceStates(settings.budget, retryBuckets, now),
         metrics,
         stopTimes: () => stopTimes,
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -31,15 +31,18 @@
 import { sendRefusal } from "./refusal-response";
 import { maxBufferedRequestBytes, readBody, streamBody } from "./request-body";
 import type { BodyProblem, RequestBody } from "./request-body";
+import type { RequestWorks, WorkedRequest } from "./request-works";
 import { impliesNotRun } from "./response-check";
 import { breakOffResponse, sendResponse, streamResponse } from "./response-relay";
 import type { createRouteProfiles } from "./route-profile";
 import type { ServiceState } from "./service-states";
+import type { RequestWork } from "./service-work";
 import type { StartupWait } from "./startup-wait";
 import { canFinish } from "./stop";
 import type { StopTimes } from "./stop";
 import type { createEligibility, TargetEligibility } from "./target-eligibility";
 import { boundUnreadBody } from "./unread-body";
+import type { WorkAdmission, WorkedAdmission } from "./work-admission";
 
 /** Dependencies of the request path. */
 export interface FlowParts extends RunParts {
@@ -60,6 +63,10 @@
     rateLimits: RateLimits;
     limitDecisions: Pick<LimitDecisions, "take">;
     profiles: ReturnType<typeof createRouteProfiles>;
+    /** Expected work of requests; undefined when the setting is off. */
+    requestWorks: RequestWorks | undefined;
+    /** Returns the admission of a service's requests by work; undefined when the setting is off. */
+    workAdmissions: ((service: string) => WorkAdmission) | undefined;
     serviceState(service: string): ServiceState;
     metrics: Metrics;
     /** Returns the times of a planned stop once it has begun; the last response on a connection closes it from then on. */
@@ -90,6 +97,7 @@
 /** Retry-After in seconds when memory is short or too many requests run: other instances have room. */
 const shortageRetrySeconds = 0.5;
 const keyIdDigits = 16;
+const noTargets: ReadonlySet<string> = new Set();
 /** Longest Retry-After in seconds of a request over its organisation's limit. */
 const maxRetryAfterSeconds = 5;
 /** Retry-After without a configuration: a restarted instance has one within about this many seconds. */
@@ -122,6 +130,21 @@
     return false;
 }
 
+/** Returns the properties of a request that its work depends on. */
+function workedRequest(
+    admitted: Pick<AdmittedRequest, "request" | "route" | "organisation" | "service">,
+): WorkedRequest {
+    const { request, route, organisation, service } = admitted;
+    return {
+        service,
+        route: route.name,
+        method: request.method,
+        bodyBytes: request.contentLength,
+        organisation: organisation?.name,
+        latencyObjectiveMs: route.latencyObjectiveMs,
+    };
+}
+
 /** Creates the request listener of the callers' server. */
 export function createRequestFlow(parts: FlowParts): (incoming: IncomingMessage, outgoing: ServerResponse) => void {
     const { headerNames, log, now } = parts;
@@ -183,6 +206,10 @@
             const endAt = arrivedAt + Math.min(request.deadlineMs, route.timeoutMs) - responseMarginMs;
             const eligibility = parts.eligibilityOf(route, organisation);
             const admitted = { request, route, organisation, service, eligibility, version, arrivedAt, endAt };
+            const workAdmission = workAdmissionOf(admitted, endAt - now());
+            if (workAdmission !== undefined) {
+                return parts.workAdmissions!(service).admit(workAdmission).map(() => admitted);
+            }
             yield* admitLoad({
                 remainingMs: endAt - now(),
                 priority: organisation?.priority ?? route.priority,
@@ -203,6 +230,35 @@
             : refused;
     }
 
+    /** Returns the inputs of the admission by work; undefined while the work is unknown or not used, or without a target. */
+    function workAdmissionOf(
+        admitted: Omit<AdmittedRequest, "version">,
+        remainingMs: number,
+    ): WorkedAdmission | undefined {
+        const { route, organisation, service, eligibility } = admitted;
+        const work = parts.requestWorks?.of(workedRequest(admitted));
+        if (work === undefined || parts.targetTracker.leastUtilisation(service, eligibility.allows) === undefined) {
+            return undefined;
+        }
+        return {
+            remainingMs,
+            priority: organisation?.priority ?? route.priority,
+            organisation: organisation?.name,
+            work,
+            candidates: own =>
+                parts.targetTracker.candidates(service, noTargets, { work: own })
+                    .filter(({ target }) => eligibility.allows(target)),
+        };
+    }
+
+    /** Returns the Retry-After in seconds of a request that no target has run. */
+    function notRunRetrySeconds(admitted: AdmittedRequest, state: ServiceState): number {
+        const admission = workAdmissionOf(admitted, admitted.endAt - now());
+        return admission === undefined
+            ? retryAfterSeconds(state.refusedShare(), parts.random)
+            : parts.workAdmissions!(admitted.service).rejectedRetryAfter(admission);
+    }
+
     /** Refuses a request that the planned stop would interrupt; other instances can serve it at once. */
     function admitDuringStop(typicalMs: number | undefined): Result<void, Refusal> {
         const times = parts.stopTimes();
@@ -274,7 +330,7 @@
 
     function refuse(incoming: IncomingMessage, outgoing: ServerResponse, id: string, refused: Refusal): void {
         log.request(id, "refused", { code: refused.code, status: refused.status, ...refused.inputs });
-        parts.metrics.countRefusal(refused.code);
+        parts.metrics.countRefusal(refused.code, refused.priority);
         const unread = !incoming.complete;
         // A body that is too large, or for which memory is short, is not read any further.
         const mustClose = refused.status === 413 || unread && !parts.budget.acceptsBodies();
@@ -447,6 +503,8 @@
                         breakOffResponse(outgoing);
                     }
                 }),
+            work: takeWork(admitted),
+            served: serviceMs => parts.requestWorks?.record(workedRequest(admitted), serviceMs),
             maxBufferedBytes: maxBufferedResponseBytes,
         });
         outgoing.on("close", () => {
@@ -471,6 +529,13 @@
         return gone;
     }
 
+    /** Counts a request and returns its expected work; undefined when it is unknown or not used. */
+    function takeWork(admitted: AdmittedRequest): RequestWork | undefined {
+        const worked = workedRequest(admitted);
+        parts.requestWorks?.count(worked);
+        return parts.requestWorks?.of(worked);
+    }
+
     function ageOf({ arrivedAt }: AdmittedRequest): number {
         return Math.round(now() - arrivedAt);
     }
@@ -515,7 +580,7 @@
         const inputs = { ...summary(admitted, run, undefined), end: result.end, why: result.why };
         if (result.notRun) {
             const waitSeconds = Math.max(
-                retryAfterSeconds(state.refusedShare(), parts.random),
+                notRunRetrySeconds(admitted, state),
                 retryAfterKnownWaitSeconds(
                     parts.directory.msUntilServing(admitted.service, admitted.eligibility.isInRegion) ?? 0,
                     parts.random,
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -33,6 +33,8 @@
     memoryMb?: number;
     /** Largest number of descriptors that the process may open; a default applies when it is absent. */
     maxDescriptors?: number;
+    /** Whether targets are chosen and requests admitted by expected work; false when absent. */
+    expectedWork?: boolean;
 }
 
 /** Settings that are missing or have the wrong type. */
@@ -49,6 +51,7 @@
 const isNumber: Check = value => typeof value === "number" && Number.isFinite(value) && value >= 0;
 const isPositiveOrAbsent: Check = value => value === undefined || isNumber(value) && value !== 0;
 const isPort: Check = value => Number.isInteger(value) && (value as number) > 0 && (value as number) < 65_536;
+const isOptionalBoolean: Check = value => value === undefined || typeof value === "boolean";
 const isLevel: Check = value => ["debug", "info", "warn", "error"].includes(value as string);
 
 /** Accepts a table of strings; the setting may be absent, as in the files of earlier versions. */
@@ -80,6 +83,7 @@
     "memoryMb": { check: isPositiveOrAbsent, expected: "a number of megabytes above 0" },
     "maxDescriptors": { check: isPositiveOrAbsent, expected: "a number above 0" },
     "logLevel": { check: isLevel, expected: "debug, info, warn or error" },
+    "expectedWork": { check: isOptionalBoolean, expected: "true or false" },
 };
 
 function valueAt(document: unknown, path: string): unknown {
--- a/packages/gateway/src/target-tracker.ts
+++ b/packages/gateway/src/target-tracker.ts
@@ -7,22 +7,27 @@
     createOutcomeBaseline,
     createTargetHealth,
     createTargetLoad,
+    createTargetPace,
     outcome,
     outcomeWeight,
 } from "@trefoilladder/placement";
 import type {
     Candidate,
+    ExpectedFinish,
     LoadReport,
     Outcome,
     OutcomeBaseline,
     ProbeCandidate,
     TargetHealth,
     TargetLoad,
+    TargetPace,
 } from "@trefoilladder/placement";
 import type { ListedTarget, TargetDirectory } from "@trefoilladder/replication";
 import type { DecisionLog } from "@trefoilladder/telemetry";
 import { idleReset } from "./idle-limits";
 import type { IdleLimits } from "./idle-limits";
+import { createServiceWork } from "./service-work";
+import type { RequestWork } from "./service-work";
 import type { TargetSets } from "./target-sets";
 
 /** A target that can be selected for a request. */
@@ -30,19 +35,27 @@
     target: ListedTarget;
 }
 
+/** What the choice of a target takes into account of the request. */
+export interface PlacedRequest {
+    /** Longest idle time in milliseconds of a connection that may carry the request. */
+    maxIdleMs?: number;
+    /** Expected work; with it, the candidates have an expected finish. */
+    work?: RequestWork | undefined;
+}
+
 /** Tracks the state of all targets. */
 export interface TargetTracker {
     /**
-     * Returns the targets of a service that a request can be sent to, without the excluded ids. `maxIdleMs` is the longest idle
-     * time of a connection that may carry the request.
+     * Returns the targets of a service that a request can be sent to, without the excluded ids, with what is known of the request.
      */
-    candidates(service: string, excluded: ReadonlySet<string>, maxIdleMs?: number): TargetCandidate[];
+    candidates(service: string, excluded: ReadonlySet<string>, request?: PlacedRequest): TargetCandidate[];
     /**
      * Returns the estimated utilisation of the least used target of a service that `allows` returns true for; undefined without a
      * target.
      */
     leastUtilisation(service: string, allows?: (target: ListedTarget) => boolean): number | undefined;
-    begin(target: string): void;
+    /** Counts a request to a target; `workMs` is its expected service time, if known. */
+    begin(target: string, workMs?: number): void;
     end(target: string): void;
     /** Returns the estimated utilisation of a target: its requests divided by its slots. */
     utilisation(target: ListedTarget): number;
@@ -65,6 +78,7 @@
     health: TargetHealth;
     pathHealth: TargetHealth;
     load: TargetLoad;
+    pace: TargetPace;
     /** Monotonic time in milliseconds at which any instance last received a successful response. */
     lastSuccessAt: number;
     /** Monotonic time in milliseconds at which any instance last observed an outcome, or this one last sent a request. */
@@ -81,6 +95,8 @@
 
 /** Outcomes that are evidence about the network path. */
 const pathOutcomes = new Set<Outcome>([outcome.success, outcome.late, outcome.timedOut, outcome.unreachable]);
+/** Outcomes of requests that a target has run and ended. */
+const ranOutcomes = new Set<Outcome>([outcome.success, outcome.requestFailure]);
 /** Time in milliseconds for which the average utilisation of a service is cached. */
 const averageLifetimeMs = 100;
 /** Probabilities of being unhealthy at which a target becomes suspected, and below which it becomes trusted again. */
@@ -112,6 +128,7 @@
     const entries = new Map<string, Entry>();
     const baselines = new Map<string, OutcomeBaseline>();
     const averages = new Map<string, { utilisation: number; at: number; }>();
+    const serviceWork = createServiceWork(directory, target => entryOf(target).pace);
     let pending = new Map<string, PendingReport>();
 
     function entryOf(target: string): Entry {
@@ -121,6 +138,7 @@
                 health: createTargetHealth(now()),
                 pathHealth: createTargetHealth(now()),
                 load: createTargetLoad(),
+                pace: createTargetPace(),
                 lastSuccessAt: -Infinity,
                 lastOutcomeAt: -Infinity,
                 replacedStartedAt: undefined,
@@ -195,20 +213,46 @@
         if (kind === outcome.success) {
             entry.lastSuccessAt = at;
         }
+        if (ranOutcomes.has(kind)) {
+            entry.pace.ended(count, at);
+        }
         const weight = outcomeWeight(kind, at - entry.lastSuccessAt) * count;
         const probability = entry.health.observe(kind, at, weight, updateShares(target, kind));
         updateSuspicion(target, entry, probability, kind, source);
         return probability;
     }
 
+    function applyReport(target: string, load: LoadReport): void {
+        const { load: targetLoad, pace } = entryOf(target);
+        targetLoad.report(load, now());
+        pace.report(load.running, now());
+    }
+
     function utilisationOf(target: ListedTarget, at: number): number {
         return entryOf(target.id).load.utilisation(target.slots, at, averageUtilisation(target.service, at));
     }
 
-    function candidateOf(target: ListedTarget, at: number): TargetCandidate {
+    /** Returns the expected time of a request at a target. */
+    function finishOf(target: ListedTarget, work: RequestWork, at: number): ExpectedFinish {
+        const { load } = entryOf(target.id);
+        const { meanWorkMs = work.serviceMs, slowdown } = serviceWork.at(target, at);
+        const peerUtilisation = averageUtilisation(target.service, at);
+        const reserved = serviceWork.reserved(target.service, work.separation, at);
+        return {
+            waitMs: load.waitMs({ slots: target.slots, peerUtilisation, meanWorkMs }, at),
+            serviceMs: work.serviceMs * slowdown,
+            objectiveMs: work.objectiveMs,
+            slowdown,
+            isTight: reserved.size === 0 ? undefined : work.isTight,
+            isReserved: reserved.has(target.id),
+        };
+    }
+
+    function candidateOf(target: ListedTarget, at: number, work: RequestWork | undefined): TargetCandidate {
         const { health, pathHealth, lastOutcomeAt } = entryOf(target.id);
         return {
             target,
+            finish: work === undefined ? undefined : finishOf(target, work, at),
             unhealthyProbability: health.unhealthyProbability(at),
             pathFailureProbability: pathHealth.unhealthyProbability(at),
             utilisation: utilisationOf(target, at),
@@ -225,14 +269,14 @@
     }
 
     return {
-        candidates(service, excluded, maxIdleMs = 0) {
+        candidates(service, excluded, { maxIdleMs = 0, work } = {}) {
             const at = now();
             const usable = usableTargets(service);
             const inProgress = usable.reduce((sum, { id }) => sum + entryOf(id).load.inFlight, 0);
             const ranked = targetSets?.ranked(service, usable, inProgress);
             const candidates = (ranked ?? usable)
                 .filter(target => !excluded.has(target.id))
-                .map(target => candidateOf(target, at));
+                .map(target => candidateOf(target, at, work));
             if (ranked !== undefined) {
                 targetSets!.mark(service, candidates, maxIdleMs);
             }
@@ -243,9 +287,9 @@
             const utilisations = usableTargets(service).filter(allows).map(target => utilisationOf(target, at));
             return utilisations.length === 0 ? undefined : Math.min(...utilisations);
         },
-        begin(target) {
+        begin(target, workMs) {
             const entry = entryOf(target);
-            entry.load.begin();
+            entry.load.begin(workMs);
             entry.lastOutcomeAt = now();
         },
         end: target => entryOf(target).load.end(),
@@ -267,7 +311,7 @@
             parts.onUrgentChange();
         },
         reportLoad(target, load) {
-            entryOf(target).load.report(load, now());
+            applyReport(target, load);
             pendingReportOf(target).load = load;
         },
         markReplaced(target) {
@@ -288,7 +332,7 @@
             }
             if (load !== undefined) {
                 const [running, waiting, slots] = load;
-                entryOf(target).load.report({ running, waiting, slots }, now());
+                applyReport(target, { running, waiting, slots });
             }
         },
         collectObservations() {
--- a/test/gateway/fixtures.ts
+++ b/test/gateway/fixtures.ts
@@ -168,6 +168,7 @@
     stopSeconds?: number;
     /** Regions by failure domain. */
     regions?: GatewaySettings["regions"];
+    expectedWork?: boolean;
     /** Addresses of instances that every instance knows at its start. */
     seeds?: string[];
 }): Promise<Fleet> {
@@ -197,6 +198,7 @@
             budget: { ratio: 0.2, reserve: 60 },
             logLevel: "error",
             ...options.regions === undefined ? {} : { regions: options.regions },
+            expectedWork: options.expectedWork ?? false,
         };
         gateways.push(
             await startGateway(settings, {
--- a/test/gateway/target-tracker.test.ts
+++ b/test/gateway/target-tracker.test.ts
@@ -82,7 +82,7 @@
         const { tracker, ids } = createTracker(30, id => id === "target-1");
         tracker.observe(ids[0]!, "success");
         tracker.observe(ids[1]!, "success");
-        const candidates = tracker.candidates("dossier", new Set(), 1_000);
+        const candidates = tracker.candidates("dossier", new Set(), { maxIdleMs: 1_000 });
         const marks = new Map(candidates.map(({ target, needsConnection }) => [target.id, needsConnection]));
         expect(ids.slice(0, 3).map(id => marks.get(id))).toEqual([true, false, false]);
     });
--- a/test/placement/connection-simulation.ts
+++ b/test/placement/connection-simulation.ts
@@ -143,7 +143,7 @@
         const maxIdleMs = idleLimits.maxIdleMs(service, isIdempotent);
         const canRetry = isIdempotent && excluded.size + 1 < maxAttempts;
         const profile = { isRetryable: canRetry, transferKb: load.transferKb };
-        const candidates = tracker.candidates(service, excluded, maxIdleMs);
+        const candidates = tracker.candidates(service, excluded, { maxIdleMs });
         const probed = canRetry && excluded.size === 0 ? chooseProbe(candidates, profile, random) : undefined;
         const { target } = probed ?? chooseTarget(candidates, profile, random)!;
         const index = indexById.get(target.id)!;
