--- a/packages/gateway/src/body-source.ts
+++ b/packages/gateway/src/body-source.ts
@@ -36,7 +36,12 @@
 /** Starts to read a body. */
 export function createBodySource(
     incoming: IncomingMessage,
-    { memory, pacer }: { memory: Pick<MemoryHolder, "add" | "progress">; pacer: ChunkPacer; },
+    { memory, pacer, paced }: {
+        memory: Pick<MemoryHolder, "add" | "progress">;
+        pacer: ChunkPacer;
+        /** Called when the rest of the body has to wait for the first time. */
+        paced(): void;
+    },
 ): BodySource {
     let received = createBodyBuffer();
     let receivedBytes = 0;
@@ -45,6 +50,7 @@
     let isHeld = false;
     let isDiscarded = false;
     let paceTimer: NodeJS.Timeout | undefined;
+    let wasPaced = false;
 
     // The stream resumes its connection whenever it has passed a chunk on, also while the connection is paused.
     const readOn = incoming._read.bind(incoming);
@@ -56,15 +62,26 @@
     };
 
     function resumeUnlessStopped(): void {
-        if (!isStopped() && ending === undefined) {
+        if (isStopped()) {
+            return;
+        }
+        if (ending === undefined) {
             readOn(0);
         }
+        else {
+            // The connection may have been paused in the read that held the end of the body; the next request follows on it.
+            incoming.socket.resume();
+        }
     }
 
     function paceNext(chunkBytes: number): void {
         pacer.count(chunkBytes);
         const delayMs = paceTimer === undefined ? pacer.delayMs() : 0;
         if (delayMs > 0) {
+            if (!wasPaced) {
+                wasPaced = true;
+                paced();
+            }
             paceTimer = setTimeout(() => {
                 paceTimer = undefined;
                 resumeUnlessStopped();
@@ -78,7 +95,6 @@
     function end(complete: boolean): void {
         if (ending === undefined) {
             ending = { complete };
-            clearTimeout(paceTimer);
             listener?.ended(complete);
         }
     }
--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -14,7 +14,7 @@
 
 /** Registry of the connections. */
 export interface CallerConnections {
-    /** Adds a connection; it is removed when it closes. Above the limit, the one that has waited longest for its caller is closed. */
+    /** Adds a connection; it is removed when it closes. Above the limit, the least active one is closed. */
     add(socket: Socket): void;
     /**
      * Adds a request; returns false if an earlier response closes the connection, or if too many requests wait on it, so that the
@@ -60,9 +60,9 @@
 
 /** Options of the registry. */
 export interface CallerConnectionOptions {
-    budget: Pick<MemoryBudget, "open" | "dropLongestWaiting">;
+    budget: Pick<MemoryBudget, "open" | "dropLeastActive">;
     maxConnections: number;
-    log: Pick<DecisionLog, "stateChange" | "count">;
+    log: Pick<DecisionLog, "request" | "count">;
 }
 
 /** Memory in bytes of a connection without a request. */
@@ -70,6 +70,11 @@
 /** Memory in bytes of a request, and of each of its header fields; they are on the heap, whose limit is lower than the machine's. */
 const requestBytes = 12 * 1024;
 const headerFieldBytes = 512;
+/**
+ * Header fields from which a request is the last on its connection. Parsing thousands of short fields takes milliseconds, and a
+ * client that sends such requests without a wait would keep the process from others.
+ */
+const maxFieldsWithRequestsBehind = 250;
 /** Requests on one connection whose responses have not been sent. */
 export const maxPendingRequests = 64;
 
@@ -95,7 +100,7 @@
     }
 
     function drop(socket: Socket, connection: CallerConnection): void {
-        log.stateChange("caller_dropped", {
+        log.request("", "caller_dropped", {
             pending: connection.pending.size,
             readingBodies: connection.readingBodies.size,
             open: connections.size,
@@ -121,7 +126,7 @@
         add(socket) {
             if (connections.size >= maxConnections) {
                 log.count("caller_connections_at_limit");
-                if (!budget.dropLongestWaiting()) {
+                if (!budget.dropLeastActive()) {
                     socket.destroy();
                     return;
                 }
@@ -150,22 +155,32 @@
             const { socket } = incoming;
             const connection = connections.get(socket);
             if (connection === undefined || !connection.acceptsRequests) {
+                // What follows will not be handled either.
+                socket.pause();
                 return false;
             }
             if (connection.pending.size >= maxPendingRequests) {
                 connection.hasExcess = true;
                 connection.acceptsRequests = false;
                 socket.pause();
-                log.stateChange("caller_reads_too_late", { pending: connection.pending.size });
+                log.request("", "caller_reads_too_late", { pending: connection.pending.size });
                 return false;
             }
-            const bytes = requestBytes + incoming.rawHeaders.length / 2 * headerFieldBytes;
+            const fields = incoming.rawHeaders.length / 2;
+            const bytes = requestBytes + fields * headerFieldBytes;
+            if (fields > maxFieldsWithRequestsBehind) {
+                connection.hasExcess = true;
+                connection.acceptsRequests = false;
+            }
             connection.newestRequest = incoming;
             connection.pending.add(outgoing);
             outgoing.on("close", () => {
                 connection.pending.delete(outgoing);
                 connection.readingBodies.delete(incoming);
                 connection.memory.add(memoryUse.request, -bytes);
+                if (outgoing.writableFinished) {
+                    connection.memory.restart();
+                }
                 if (connection.hasExcess && connection.pending.size === 0) {
                     socket.destroySoon();
                 }
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -26,11 +26,13 @@
 const checkIntervalMs = 500;
 
 /** Creates the HTTP server for callers. */
-export function createCallerServer({ connections, handle, ignored }: {
+export function createCallerServer({ connections, handle, ignored, headTooLong }: {
     connections: CallerConnections;
     handle(incoming: IncomingMessage, outgoing: ServerResponse): void;
     /** Called for a request behind a response that closes its connection; it is not handled. */
     ignored(incoming: IncomingMessage): void;
+    /** Called when the parser has refused a head because of its length. */
+    headTooLong(): void;
 }): CallerServer {
     const server = createServer(
         {
@@ -46,6 +48,8 @@
                 return;
             }
             ignored(incoming);
+            // Node.js keeps the request until its connection closes.
+            incoming.rawHeaders = [];
         },
     );
     // Node.js drops the fields beyond this number silently; one more than the limit shows that there are too many.
@@ -54,6 +58,11 @@
     server.closeIdleConnections = connections.closeIdle;
     server.on("connection", socket => {
         socket.setNoDelay(true);
+        socket.on("error", (error: NodeJS.ErrnoException) => {
+            if (error.code === "HPE_HEADER_OVERFLOW") {
+                headTooLong();
+            }
+        });
         connections.add(socket);
     });
     return {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -206,11 +206,12 @@
         ignored(incoming) {
             log.request(String(incoming.headers[platform.headers.requestId]), "ignored_behind_close", {});
         },
+        headTooLong: () => log.request("", "head_too_long", {}),
     });
     const isReady = () => stopTimes === undefined && configuration.current() !== undefined && directory.size > 0;
     const otherListener = {
         maxConnections: descriptors.otherListener,
-        dropped: () => log.stateChange("other_listener_at_limit", {}),
+        dropped: () => log.request("", "other_listener_at_limit", {}),
     };
     const readiness = createBoundedServer((incoming, outgoing) => {
         outgoing.writeHead(incoming.url === platform.readinessPath && isReady() ? 200 : 503).end();
--- a/packages/gateway/src/memory-budget.ts
+++ b/packages/gateway/src/memory-budget.ts
@@ -23,6 +23,8 @@
     add(use: MemoryUse, bytes: number): void;
     /** Records that the peer has sent or received bytes; enough of them restart its waiting time. */
     progress(bytes: number): void;
+    /** Restarts the waiting time, because the peer has completed something. */
+    restart(): void;
     /** Frees everything; further calls do nothing. */
     close(): void;
 }
@@ -42,8 +44,10 @@
     acceptsBodies(): boolean;
     /** Returns whether a further request is handled. */
     acceptsRequests(): boolean;
-    /** Drops the holder that has waited longest for its peer, of those with a use if one is given; returns whether there was one. */
-    dropLongestWaiting(use?: MemoryUse): boolean;
+    /** Drops the holder that has waited longest for its peer, of those that hold memory for a use; returns whether there was one. */
+    dropLongestWaiting(use: MemoryUse): boolean;
+    /** Does the same with the holders that hold nothing but a connection, and if there is none with all. */
+    dropLeastActive(): boolean;
     usedBytes(use: MemoryUse): number;
     readonly totalBytes: number;
 }
@@ -128,6 +132,12 @@
                 uncountedProgress: 0,
             };
             entries.add(entry);
+            const restart = () => {
+                if (entries.delete(entry)) {
+                    entry.uncountedProgress = 0;
+                    entries.add(entry);
+                }
+            };
             return {
                 add(use, bytes) {
                     if (entries.has(entry)) {
@@ -139,17 +149,18 @@
                 },
                 progress(bytes) {
                     entry.uncountedProgress += bytes;
-                    if (entry.uncountedProgress >= progressBytes && entries.delete(entry)) {
-                        entry.uncountedProgress = 0;
-                        entries.add(entry);
+                    if (entry.uncountedProgress >= progressBytes) {
+                        restart();
                     }
                 },
+                restart,
                 close: () => free(entry),
             };
         },
         acceptsBodies: () => total < bodyShare * totalBytes,
         acceptsRequests: () => total < requestShare * totalBytes,
-        dropLongestWaiting: use => dropFirst(({ held }) => use === undefined || held[use] > 0),
+        dropLongestWaiting: use => dropFirst(({ held }) => held[use] > 0),
+        dropLeastActive: () => dropFirst(entry => !holdsMoreThanConnection(entry)) || dropFirst(() => true),
         usedBytes: use => used[use],
         totalBytes,
     };
--- a/packages/gateway/src/request-body.ts
+++ b/packages/gateway/src/request-body.ts
@@ -72,7 +72,7 @@
     function finish(complete: boolean): void {
         if (!isFinished) {
             isFinished = true;
-            source.listen(undefined);
+            source.discard();
             options.finished(complete);
         }
     }
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -264,19 +264,23 @@
         const mustClose = refused.status === 413 || unread && !parts.budget.acceptsBodies();
         sendRefusal(outgoing, refused, { headerNames, id, close: closesConnection(incoming, mustClose) });
         if (unread) {
-            sources.get(incoming)?.discard();
             incoming.resume();
-            const { maxBodyBytes, idleTimeoutMs } = parts.configuration()?.configuration.limits
-                ?? firstUnreadBodyLimits;
-            boundUnreadBody(incoming, {
-                maxBytes: maxBodyBytes,
-                maxMs: idleTimeoutMs,
-                now,
-                exceeded: bytes => log.request(id, "unread_body_closed", { bytes }),
-            });
+            discardBody(incoming, id);
         }
     }
 
+    /** Reads the rest of a body that is of no use any more up to a bound, so that the connection can be kept. */
+    function discardBody(incoming: IncomingMessage, id: string): void {
+        sources.get(incoming)?.discard();
+        const { maxBodyBytes, idleTimeoutMs } = parts.configuration()?.configuration.limits ?? firstUnreadBodyLimits;
+        boundUnreadBody(incoming, {
+            maxBytes: maxBodyBytes,
+            maxMs: idleTimeoutMs,
+            now,
+            exceeded: bytes => log.request(id, "unread_body_closed", { bytes }),
+        });
+    }
+
     /** Charges bytes to the connection of a request until its response has been sent. */
     function charge(incoming: IncomingMessage, outgoing: ServerResponse, use: MemoryUse, bytes: number): void {
         const memory = parts.connections.memoryOf(incoming);
@@ -357,7 +361,11 @@
 
     async function handle(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
         const source = hasBody(incoming)
-            ? createBodySource(incoming, { memory: parts.connections.memoryOf(incoming), pacer: parts.pacer })
+            ? createBodySource(incoming, {
+                memory: parts.connections.memoryOf(incoming),
+                pacer: parts.pacer,
+                paced: () => log.request(String(incoming.headers[headerNames.requestId] ?? ""), "body_paced", {}),
+            })
             : undefined;
         if (source !== undefined) {
             sources.set(incoming, source);
@@ -425,6 +433,9 @@
                 log.request(request.id, "caller_gone", { arrivals: run.arrivals, ageMs: ageOf(admitted) });
                 run.abandon();
             }
+            else if (!incoming.complete) {
+                discardBody(incoming, request.id);
+            }
         });
         running += 1;
         const result = await run.result;
@@ -551,11 +562,12 @@
             aborted();
             breakOffResponse(outgoing);
         }, Math.max(0, remainingMs) + streamGraceMs);
-        running += 1;
-        outgoing.on("close", () => {
-            clearTimeout(timer);
-            running -= 1;
-        });
+        // A response whose caller has disconnected is not streamed, and not told of the close again.
+        if (!outgoing.destroyed) {
+            running += 1;
+            outgoing.on("close", () => running -= 1);
+        }
+        outgoing.on("close", () => clearTimeout(timer));
         const memory = parts.connections.memoryOf(incoming);
         let unsentBytes = 0;
         streamResponse(outgoing, { attempt, result, close }, {
