--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -184,7 +184,7 @@
     ): WorkedAdmission | undefined {
         const { route, organisation, service } = admitted;
         const work = parts.requestWorks?.of(workedRequest(admitted));
-        if (work === undefined || parts.targetTracker.leastUtilisation(service) === undefined) {
+        if (work === undefined || parts.directory.serving(service).length === 0) {
             return undefined;
         }
         return {
--- a/packages/gateway/src/service-work.ts
+++ b/packages/gateway/src/service-work.ts
@@ -5,7 +5,7 @@
 
 import { median, reservedTargets, slowdownOf } from "@trefoilladder/placement";
 import type { Separation, TargetPace } from "@trefoilladder/placement";
-import type { ListedTarget, TargetDirectory } from "@trefoilladder/replication";
+import type { TargetDirectory } from "@trefoilladder/replication";
 
 /** Expected work of a request whose target is chosen. */
 export interface RequestWork {
@@ -29,7 +29,8 @@
 
 /** Work at the targets of all services. */
 export interface ServiceWork {
-    at(target: Pick<ListedTarget, "id" | "service">, now: number): TargetWork;
+    /** Returns a function for the work at a target of a service. */
+    of(service: string, now: number): (target: string) => TargetWork;
     /** Returns the ids of the targets that are reserved for requests with little slack. */
     reserved(service: string, separation: Separation | undefined, now: number): ReadonlySet<string>;
 }
@@ -60,13 +61,14 @@
     }
 
     return {
-        at({ id, service }, now) {
+        of(service, now) {
             let cached = works.get(service);
             if (cached === undefined || now - cached.at >= paceLifetimeMs) {
                 cached = { byTarget: computeWorks(service, now), at: now };
                 works.set(service, cached);
             }
-            return cached.byTarget.get(id) ?? unknownWork;
+            const { byTarget } = cached;
+            return target => byTarget.get(target) ?? unknownWork;
         },
         reserved(service, separation, now) {
             if (separation === undefined) {
--- a/packages/gateway/src/target-tracker.ts
+++ b/packages/gateway/src/target-tracker.ts
@@ -201,27 +201,34 @@
         return entryOf(target.id).load.utilisation(target.slots, at, averageUtilisation(target.service, at));
     }
 
-    /** Returns the expected time of a request at a target. */
-    function finishOf(target: ListedTarget, work: RequestWork, at: number): ExpectedFinish {
-        const { load } = entryOf(target.id);
-        const { meanWorkMs = work.serviceMs, slowdown } = serviceWork.at(target, at);
-        const peerUtilisation = averageUtilisation(target.service, at);
-        const reserved = serviceWork.reserved(target.service, work.separation, at);
-        return {
-            waitMs: load.waitMs({ slots: target.slots, peerUtilisation, meanWorkMs }, at),
-            serviceMs: work.serviceMs * slowdown,
-            objectiveMs: work.objectiveMs,
-            slowdown,
-            isTight: reserved.size === 0 ? undefined : work.isTight,
-            isReserved: reserved.has(target.id),
+    /** Returns a function for the expected time of a request at a target of a service; what all targets share is read once. */
+    function finishesOf(service: string, work: RequestWork, at: number): (target: ListedTarget) => ExpectedFinish {
+        const workAt = serviceWork.of(service, at);
+        const reserved = serviceWork.reserved(service, work.separation, at);
+        const peerUtilisation = averageUtilisation(service, at);
+        const isTight = reserved.size === 0 ? undefined : work.isTight;
+        return ({ id, slots }) => {
+            const { meanWorkMs = work.serviceMs, slowdown } = workAt(id);
+            return {
+                waitMs: entryOf(id).load.waitMs({ slots, peerUtilisation, meanWorkMs }, at),
+                serviceMs: work.serviceMs * slowdown,
+                objectiveMs: work.objectiveMs,
+                slowdown,
+                isTight,
+                isReserved: reserved.has(id),
+            };
         };
     }
 
-    function candidateOf(target: ListedTarget, at: number, work: RequestWork | undefined): TargetCandidate {
+    function candidateOf(
+        target: ListedTarget,
+        at: number,
+        finishOf: ((target: ListedTarget) => ExpectedFinish) | undefined,
+    ): TargetCandidate {
         const { health, pathHealth, lastOutcomeAt } = entryOf(target.id);
         return {
             target,
-            finish: work === undefined ? undefined : finishOf(target, work, at),
+            finish: finishOf?.(target),
             unhealthyProbability: health.unhealthyProbability(at),
             pathFailureProbability: pathHealth.unhealthyProbability(at),
             utilisation: utilisationOf(target, at),
@@ -240,9 +247,10 @@
     return {
         candidates(service, excluded, work) {
             const at = now();
+            const finishOf = work === undefined ? undefined : finishesOf(service, work, at);
             return usableTargets(service)
                 .filter(target => !excluded.has(target.id))
-                .map(target => candidateOf(target, at, work));
+                .map(target => candidateOf(target, at, finishOf));
         },
         leastUtilisation(service) {
             const at = now();
--- a/packages/gateway/src/work-admission.ts
+++ b/packages/gateway/src/work-admission.ts
@@ -55,6 +55,8 @@
 const usualRamp: SlackRamp = { start: 0.25, end: 0.8, least: 0.15 };
 /** Requests with little slack are little work, and late once they are refused. */
 const tightRamp: SlackRamp = { start: 1, end: 2, least: 0.5 };
+/** Slack in milliseconds below which the tight ramp applies: waits change by as much within the age of a report. */
+const minRampSlackMs = 600;
 /** Relative admitted share of returned requests whose latency objective can no longer be met. */
 const lostShare = 0.4;
 /** Deviation of a class's deadlines, as a share of their mean, up to which a shorter deadline tells the age of a request. */
@@ -70,8 +72,9 @@
 const yieldRange = 0.4;
 /** Admitted share of a less urgent class relative to the most urgent one, at least. */
 const minYieldShare = 0.5;
-/** Wait as a share of the slack at which an organisation gets no more than its fair rate; below it in proportion. */
-const fairRateWaitShare = 0.3;
+/** Wait as a share of the slack from which an organisation yields, and at which it gets no more than its fair rate. */
+const fairRateStart = 0.15;
+const fairRateEnd = 0.4;
 /** Smallest slack as a share of the service time, for requests whose objective leaves less. */
 const minSlackShare = 0.5;
 /** Time in milliseconds after its last request for which a class counts as served here. */
@@ -85,8 +88,8 @@
     return 1 - (1 - least) * position;
 }
 
-function rampOf({ isTight }: RequestWork): SlackRamp {
-    return isTight ? tightRamp : usualRamp;
+function rampOf(work: RequestWork): SlackRamp {
+    return work.isTight || slackOf(work) < minRampSlackMs ? tightRamp : usualRamp;
 }
 
 function slackOf({ objectiveMs, serviceMs }: RequestWork): number {
@@ -179,8 +182,8 @@
             const isLost = ageOf(request) + finishMs > work.objectiveMs;
             const lost = isLost ? ramp(waitShare, uncontendedWaitShare, contendedWaitShare, lostShare) : 1;
             const yielded = steps > 0 ? yieldShare(urgentWaitShare * overflow, steps) : 1;
-            const contention = Math.min(1, Math.max(waitShare, urgentWaitShare) / fairRateWaitShare);
-            const fair = 1 - contention * (1 - shares.fairShare(organisation, now()));
+            const fairShare = shares.fairShare(organisation, now());
+            const fair = ramp(Math.max(waitShare, urgentWaitShare), fairRateStart, fairRateEnd, fairShare);
             if (random() < Math.min(fit, inTime, yielded) * fair * lost) {
                 returns.admitted(now());
                 return ok(undefined);
--- a/packages/placement/src/organisation-shares.ts
+++ b/packages/placement/src/organisation-shares.ts
@@ -24,7 +24,7 @@
 /** An organisation may exceed its usual rate by this factor. */
 const toleratedFactor = 1.3;
 /** Requests above the fair rate within `recentMs` that are tolerated, since an instance sees few requests of an organisation. */
-const toleratedRequests = 2;
+const toleratedRequests = 3;
 /** Recent requests from which an organisation counts as active. */
 const activeRequests = 0.2;
 /** Maximum number of organisations; the one that sent least recently is removed. */
--- a/test/gateway/settings-file.test.ts
+++ b/test/gateway/settings-file.test.ts
@@ -4,6 +4,7 @@
 import { mkdtempSync, rmSync, utimesSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { checkSettings } from "../../packages/gateway/src/settings";
 import { compareSettings } from "../../packages/gateway/src/settings-file";
 import { waitUntil } from "./caller";
 
@@ -27,6 +28,13 @@
     };
 }
 
+// Guards against a mistyped switch that is read as on or off without a message.
+test("the setting for expected work is optional, and true or false", () => {
+    expect(checkSettings(settings()).isOk()).toBe(true);
+    expect(checkSettings(settings({ expectedWork: true })).isOk()).toBe(true);
+    expect(checkSettings({ ...settings(), expectedWork: "true" }).isErr()).toBe(true);
+});
+
 describe("newer settings", () => {
     test("are applied where a running process can, and otherwise need a restart", () => {
         const change = compareSettings(
