--- a/test/gateway/settings-file.test.ts
+++ b/test/gateway/settings-file.test.ts
@@ -38,6 +38,13 @@
     expect(checkSettings({ ...settings(), regions }).isOk()).toBe(isValid);
 });
 
+// Guards against a mistyped switch that is read as on or off without a message.
+test("the setting for expected work is optional, and true or false", () => {
+    expect(checkSettings(settings()).isOk()).toBe(true);
+    expect(checkSettings(settings({ expectedWork: true })).isOk()).toBe(true);
+    expect(checkSettings({ ...settings(), expectedWork: "true" }).isErr()).toBe(true);
+});
+
 describe("newer settings", () => {
     test("are applied where a running process can, and otherwise need a restart", () => {
         const change = compareSettings(
