--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -5,7 +5,7 @@
 import { retryAfterKnownWaitSeconds, retryAfterSeconds } from "@trefoilladder/placement";
 import type { TargetDirectory } from "@trefoilladder/replication";
 import type { ConfigurationIndex, Organisation, Route } from "@trefoilladder/serving";
-import type { OutgoingRequest, ResponseHead } from "@trefoilladder/upstream";
+import type { ResponseHead } from "@trefoilladder/upstream";
 import { err, ok, safeTry } from "neverthrow";
 import type { Result } from "neverthrow";
 import { createHash } from "node:crypto";
@@ -24,12 +24,13 @@
 import { memoryUse } from "./memory-budget";
 import type { MemoryBudget, MemoryUse } from "./memory-budget";
 import type { Metrics, ResponseLabels } from "./metrics";
+import { createOutgoingRequest } from "./outgoing-request";
 import { limitFields } from "./rate-limits";
 import type { RateLimits } from "./rate-limits";
 import { refusal } from "./refusal";
 import type { Refusal } from "./refusal";
 import { sendRefusal } from "./refusal-response";
-import { maxBufferedRequestBytes, readBody, streamBody } from "./request-body";
+import { maxBufferedRequestBytes, readBody } from "./request-body";
 import type { BodyProblem, RequestBody } from "./request-body";
 import type { RequestWorks, WorkedRequest } from "./request-works";
 import { impliesNotRun } from "./response-check";
@@ -383,54 +384,6 @@
         }));
     }
 
-    function outgoingRequest(
-        admitted: AdmittedRequest,
-        body: RequestBody,
-        targetId: string,
-        bodyEnded: (complete: boolean) => void,
-    ): Omit<OutgoingRequest, "canBeSent"> {
-        const { request, organisation } = admitted;
-        const length = body.buffered?.length ?? request.contentLength;
-        const hasBody = length === undefined || length > 0 || request.method !== "GET" && request.method !== "HEAD";
-        return {
-            id: request.id,
-            method: request.method,
-            head() {
-                const lines = [`${request.method} ${request.url} HTTP/1.1`];
-                for (let index = 0; index < request.forwarded.length; index += 2) {
-                    lines.push(`${request.forwarded[index]}: ${request.forwarded[index + 1]}`);
-                }
-                lines.push(`${headerNames.requestId}: ${request.id}`);
-                lines.push(`${headerNames.deadline}: ${Math.max(1, Math.round(admitted.endAt - now()))}`);
-                lines.push(`${headerNames.expectedTarget}: ${targetId}`);
-                if (organisation !== undefined) {
-                    lines.push(`${headerNames.organisation}: ${organisation.name}`);
-                }
-                if (hasBody) {
-                    lines.push(length === undefined ? "Transfer-Encoding: chunked" : `Content-Length: ${length}`);
-                }
-                return `${lines.join("\r\n")}\r\n\r\n`;
-            },
-            writeBody(writer) {
-                if (body.source === undefined) {
-                    if (body.buffered !== undefined && body.buffered.length > 0) {
-                        writer.write(body.buffered);
-                    }
-                    writer.end();
-                    return;
-                }
-                streamBody(body.source, {
-                    chunked: length === undefined,
-                    maxBytes: parts.configuration()?.configuration.limits.maxBodyBytes ?? Infinity,
-                    writer,
-                    finished(complete) {
-                        bodyEnded(complete);
-                    },
-                });
-            },
-        };
-    }
-
     async function handle(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
         const arrivedAt = now();
         const source = hasBody(incoming)
@@ -505,12 +458,18 @@
             endAt: admitted.endAt,
             lateAfterMs: profile.latency.lateAfterMs(route.latencyObjectiveMs),
             requestFor: target =>
-                outgoingRequest(admitted, body, target.id, complete => {
-                    parts.connections.setReadsBody(incoming, false);
-                    if (!complete) {
-                        breakOffResponse(outgoing);
-                    }
-                }),
+                createOutgoingRequest({
+                    ...admitted,
+                    body,
+                    targetId: target.id,
+                    maxBodyBytes: parts.configuration()?.configuration.limits.maxBodyBytes ?? Infinity,
+                    bodyEnded(complete) {
+                        parts.connections.setReadsBody(incoming, false);
+                        if (!complete) {
+                            breakOffResponse(outgoing);
+                        }
+                    },
+                }, parts),
             work: takeWork(admitted),
             served: serviceMs => parts.requestWorks?.record(workedRequest(admitted), serviceMs),
             maxBufferedBytes: maxBufferedResponseBytes,
