--- a/test/gateway/cold-targets.test.ts
+++ b/test/gateway/cold-targets.test.ts
@@ -9,11 +9,13 @@
 
 const success: Responder = (socket, _, id) => void socket.write(responseText(id));
 const coldMs = 60_000;
+/** Another instance that never responds; without one, the instance would be the whole fleet, and know it after 2 s. */
+const seeds = ["127.0.0.9:1"];
 
-/** Starts an instance that has just started and knows no other one, and tells it that targets have become cold. */
+/** Starts an instance whose settings name another one that it is not in contact with, and tells it that targets have become cold. */
 async function startWithCold(coldTargets: readonly number[], coldPerSecond: number | undefined): Promise<void> {
     const services = [{ name: "dossier", maxConnections: 100, coldPerSecond }];
-    fleet = await startFleet({ responders: [success, success], configuration: configuration({ services }) });
+    fleet = await startFleet({ responders: [success, success], configuration: configuration({ services }), seeds });
     await waitUntil(async () => (await callOnce()).status === 200);
     for (const index of coldTargets) {
         const record = targetRecord(index, fleet.targets[index]!.port, { coldMs, sequence: 2 });
