--- a/packages/limits/src/index.ts
+++ b/packages/limits/src/index.ts
@@ -4,6 +4,7 @@
 export type { LimitGroup, NamedTotal } from "./limit-group";
 export { rankOwners, startedTogether } from "./limit-ownership";
 export type { OwnerCandidate } from "./limit-ownership";
+export { hashText, mixBits } from "./rendezvous-hash";
 export { createSharedLimit } from "./shared-limit";
 export type { LimitState, SharedLimit, SharedLimitOptions } from "./shared-limit";
 export { createTokenClient } from "./token-client";
--- a/packages/limits/src/limit-ownership.ts
+++ b/packages/limits/src/limit-ownership.ts
@@ -5,6 +5,8 @@
  * loss of one instance moves only the limits that it owned.
  */
 
+import { hashText, mixBits } from "./rendezvous-hash";
+
 /** An instance that may own limits. */
 export interface OwnerCandidate {
     /** Address by which requests reach the instance. */
@@ -18,25 +20,6 @@
 /** Difference in age in milliseconds up to which instances count as started together. */
 const simultaneousStartMs = 2_000;
 
-const fnvOffset = 0x811c9dc5;
-const fnvPrime = 0x01000193;
-
-function hashText(text: string): number {
-    let hash = fnvOffset;
-    for (let index = 0; index < text.length; index++) {
-        hash = Math.imul(hash ^ text.charCodeAt(index), fnvPrime);
-    }
-    return hash >>> 0;
-}
-
-/** Mixes the bits of a hash (the finalizer of MurmurHash3). */
-function mixBits(hash: number): number {
-    let mixed = hash;
-    mixed = Math.imul(mixed ^ mixed >>> 16, 0x85ebca6b);
-    mixed = Math.imul(mixed ^ mixed >>> 13, 0xc2b2ae35);
-    return (mixed ^ mixed >>> 16) >>> 0;
-}
-
 /** Returns the latest time in milliseconds at which an instance started together with the oldest of the candidates. */
 function simultaneousUntil(candidates: readonly OwnerCandidate[]): number {
     return Math.min(...candidates.map(({ runningSince }) => runningSince)) + simultaneousStartMs;
--- a/packages/placement/src/target-set.ts
+++ b/packages/placement/src/target-set.ts
@@ -7,6 +7,7 @@
  * them. The set widens while its targets are busy or unhealthy, so that it is never the cause of a queue.
  */
 
+import { hashText, mixBits } from "@trefoilladder/limits";
 import type { Candidate } from "./placement";
 
 /** An instance or a target, with its failure domain. */
@@ -57,25 +58,6 @@
     other: 2,
 } as const;
 
-const fnvOffset = 0x811c9dc5;
-const fnvPrime = 0x01000193;
-
-function hashText(text: string): number {
-    let hash = fnvOffset;
-    for (let index = 0; index < text.length; index++) {
-        hash = Math.imul(hash ^ text.charCodeAt(index), fnvPrime);
-    }
-    return hash >>> 0;
-}
-
-/** Mixes the bits of a hash (the finalizer of MurmurHash3). */
-function mixBits(hash: number): number {
-    let mixed = hash;
-    mixed = Math.imul(mixed ^ mixed >>> 16, 0x85ebca6b);
-    mixed = Math.imul(mixed ^ mixed >>> 13, 0xc2b2ae35);
-    return (mixed ^ mixed >>> 16) >>> 0;
-}
-
 /** Returns the rendezvous hashing weight of a pair; one text is hashed once for many pairs. */
 function pairWeight(instanceHash: number, targetHash: number): number {
     return mixBits(mixBits(instanceHash) ^ targetHash);
