--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -405,7 +405,9 @@
         const request = read.value;
         const startup = parts.startupWait.until(request.deadlineMs);
         if (startup !== undefined) {
+            source?.hold();
             await startup;
+            source?.release();
         }
         const admission = admit(incoming, request, arrivedAt)
             .andThen(admittedRequest => admitMemory(source).map(() => admittedRequest));
