--- a/packages/gateway/src/idle-limits.ts
+++ b/packages/gateway/src/idle-limits.ts
@@ -16,8 +16,11 @@
 export interface IdleLimits {
     /** Returns the longest idle time in milliseconds of a connection that may carry a request to a service. */
     maxIdleMs(service: string, isIdempotent: boolean): number;
-    /** Records that this or another instance saw an idle reset at a target. */
-    recordReset(service: string, target: string, source: string): void;
+    /**
+     * Records that this or another instance saw an idle reset at a target; returns whether it shortens the limit, so that others
+     * have to hear of it at once.
+     */
+    recordReset(service: string, target: string, source: string): boolean;
 }
 
 /** Dependencies of the limits. */
@@ -66,10 +69,12 @@
             return isCautious ? cautiousMaxIdleMs : nonIdempotentMaxIdleMs;
         },
         recordReset(service, target, source) {
-            if (!hasRecentReset(service)) {
+            const isNews = !hasRecentReset(service);
+            if (isNews) {
                 log.stateChange("idle_limit_shortened", { service, target, source, forMs: cautionMs });
             }
             resetAt.set(service, now());
+            return isNews;
         },
     };
 }
--- a/packages/gateway/src/target-tracker.ts
+++ b/packages/gateway/src/target-tracker.ts
@@ -163,11 +163,10 @@
         counts.set(kind, (counts.get(kind) ?? 0) + 1);
     }
 
-    function recordIdleReset(target: string, source: string): void {
+    /** Returns whether the reset shortens the idle limit of the target's service. */
+    function recordIdleReset(target: string, source: string): boolean {
         const service = directory.get(target)?.service;
-        if (service !== undefined) {
-            parts.idleLimits?.recordReset(service, target, source);
-        }
+        return service !== undefined && parts.idleLimits?.recordReset(service, target, source) === true;
     }
 
     /** Decides from the probability of being unhealthy whether a target is suspected, and logs a change. */
@@ -314,9 +313,12 @@
             }
         },
         observeIdleReset(target) {
-            recordIdleReset(target, "own");
+            const isNews = recordIdleReset(target, "own");
             countPending(target, idleReset);
-            parts.onUrgentChange();
+            // Each urgent digest costs processor time at all instances; further resets wait for the next digest.
+            if (isNews) {
+                parts.onUrgentChange();
+            }
         },
         reportLoad(target, load) {
             applyReport(target, load);
--- a/test/gateway/idle-limits.test.ts
+++ b/test/gateway/idle-limits.test.ts
@@ -60,11 +60,13 @@
     });
 
     test("is shortened with one log line, however many resets follow", () => {
-        const { tracker, events } = createInstance();
+        const { tracker, events, counts } = createInstance();
         for (let count = 0; count < 20; count++) {
             tracker.observeIdleReset("target-0");
         }
         expect(events.filter(event => event === "idle_limit_shortened")).toHaveLength(1);
+        // An urgent digest for each reset would cost processor time at all instances.
+        expect(counts.urgent).toBe(1);
     });
 
     // Guards against sound targets that are suspected since they close idle connections.
