--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -124,6 +124,7 @@
             now,
         }),
         idleLimits,
+        learnsPaces: settings.expectedWork === true,
         onUrgentChange: () => mesh.requestDigest(),
     });
     const limitGroup = createLimitGroup({
--- a/packages/gateway/src/service-work.ts
+++ b/packages/gateway/src/service-work.ts
@@ -45,7 +45,7 @@
 /** Creates the work of services on the paces of their targets. */
 export function createServiceWork(
     directory: Pick<TargetDirectory, "serving">,
-    paceOf: (target: string) => TargetPace,
+    paceOf: (target: string) => TargetPace | undefined,
 ): ServiceWork {
     const works = new Map<string, { byTarget: ReadonlyMap<string, TargetWork>; at: number; }>();
     const reserved = new Map<string, { ids: ReadonlySet<string>; at: number; }>();
@@ -53,9 +53,9 @@
     function computeWorks(service: string, now: number): ReadonlyMap<string, TargetWork> {
         const paces = directory.serving(service).map(({ id }) => ({ id, pace: paceOf(id) }));
         // The median is not affected by a few slow targets.
-        const ms = median(paces.map(({ pace }) => pace.serviceMs(now)).filter(value => value !== undefined));
+        const ms = median(paces.map(({ pace }) => pace?.serviceMs(now)).filter(value => value !== undefined));
         return new Map(paces.map(({ id, pace }) => {
-            const slowdown = slowdownOf(pace, ms, now);
+            const slowdown = pace === undefined ? 1 : slowdownOf(pace, ms, now);
             return [id, { meanWorkMs: ms === undefined ? undefined : ms * slowdown, slowdown }];
         }));
     }
--- a/packages/gateway/src/target-tracker.ts
+++ b/packages/gateway/src/target-tracker.ts
@@ -78,7 +78,8 @@
     health: TargetHealth;
     pathHealth: TargetHealth;
     load: TargetLoad;
-    pace: TargetPace;
+    /** Undefined unless paces are learned. */
+    pace: TargetPace | undefined;
     /** Monotonic time in milliseconds at which any instance last received a successful response. */
     lastSuccessAt: number;
     /** Monotonic time in milliseconds at which any instance last observed an outcome, or this one last sent a request. */
@@ -119,6 +120,12 @@
     log: DecisionLog;
     /** Sets of preferred targets; without them, requests are sent to all targets alike. */
     targetSets?: TargetSets;
+    /**
+     * Whether the service times of targets are learned from digests, which expected work needs; it takes a tenth of the time of a
+     * digest.
+     * @default false
+     */
+    learnsPaces?: boolean;
     /** Receives the idle resets of all instances. */
     idleLimits?: Pick<IdleLimits, "recordReset">;
     /** Called when an outcome has to reach the other instances at once. */
@@ -138,7 +145,7 @@
                 health: createTargetHealth(now()),
                 pathHealth: createTargetHealth(now()),
                 load: createTargetLoad(),
-                pace: createTargetPace(),
+                pace: parts.learnsPaces === true ? createTargetPace() : undefined,
                 lastSuccessAt: -Infinity,
                 lastOutcomeAt: -Infinity,
                 replacedStartedAt: undefined,
@@ -212,7 +219,7 @@
         if (kind === outcome.success) {
             entry.lastSuccessAt = at;
         }
-        if (ranOutcomes.has(kind)) {
+        if (entry.pace !== undefined && ranOutcomes.has(kind)) {
             entry.pace.ended(count, at);
         }
         const weight = outcomeWeight(kind, at - entry.lastSuccessAt) * count;
@@ -224,7 +231,7 @@
     function applyReport(target: string, load: LoadReport): void {
         const { load: targetLoad, pace } = entryOf(target);
         targetLoad.report(load, now());
-        pace.report(load.running, now());
+        pace?.report(load.running, now());
     }
 
     function utilisationOf(target: ListedTarget, at: number): number {
--- a/test/placement/work-simulation.ts
+++ b/test/placement/work-simulation.ts
@@ -140,6 +140,7 @@
             domain: String(domain),
             now,
             log: silentLog(),
+            learnsPaces: true,
             onUrgentChange: () => undefined,
         }));
     const works = Array.from({ length: load.instances }, () => createRequestWorks());
