--- a/packages/upstream/src/target-connection.ts
+++ b/packages/upstream/src/target-connection.ts
@@ -178,10 +178,14 @@
     let responseBytes = 0;
     let bodyBytes = 0;
 
-    const connectTimer = setTimeout(
-        () => fail("unreachable", "connecting to the target timed out"),
-        options.connectTimeoutMs,
-    );
+    function failIfConnecting(): void {
+        if (socket.connecting) {
+            fail("unreachable", "connecting to the target timed out");
+        }
+    }
+
+    // After a delay of the event loop, timers run before it is read that the connection has been established meanwhile.
+    const connectTimer = setTimeout(() => setImmediate(failIfConnecting), options.connectTimeoutMs);
 
     function destroy(): void {
         if (!closed) {
--- a/test/upstream/connection-pool.test.ts
+++ b/test/upstream/connection-pool.test.ts
@@ -1,8 +1,9 @@
 import type { ConnectionPool, Exchange } from "@trefoilladder/upstream";
 import type { Socket } from "node:net";
 import { setTimeout as delay } from "node:timers/promises";
-import { createPool, exchange, responseText, startScriptedTarget } from "./scripted-target";
+import { connectTimeoutMs, createPool, exchange, responseText, startScriptedTarget } from "./scripted-target";
 import type { ScriptedTarget } from "./scripted-target";
+import { startSuspendedTarget } from "./suspended-target";
 
 let pool: ConnectionPool;
 let target: ScriptedTarget;
@@ -35,6 +36,14 @@
     writeMore();
 }
 
+/** Keeps the event loop from handling events for a time in milliseconds. */
+function blockEventLoop(ms: number): void {
+    const endAt = performance.now() + ms;
+    while (performance.now() < endAt) {
+        // Nothing else may run.
+    }
+}
+
 describe("connections to targets", () => {
     test("are reused for further requests", async () => {
         await start((socket, _, id) => socket.write(responseText(id)));
@@ -248,7 +257,23 @@
         expect(await exchange(pool, 1, "a")).toMatchObject({ failure: "unreachable" });
     });
 
-    // Guards against a crash of the process when a target's port is out of range.
+    // Guards against a target that counts as unreachable although it accepted the connection in time: after a delay of the event
+    // loop, the timer of the connection ran before the connection was found to be established.
+    test("do not time out because the event loop was delayed while they were established", async () => {
+        await start((socket, _, id) => socket.write(responseText(id)));
+        const result = exchange(pool, target.port, "a");
+        blockEventLoop(connectTimeoutMs + 100);
+        expect(await result).toMatchObject({ body: "ok" });
+    });
+
+    // Guards against a request that waits for ever for a target that accepts no connection.
+    test("time out when the target does not accept them", async () => {
+        await start(() => undefined);
+        const suspended = await startSuspendedTarget();
+        expect(await exchange(pool, suspended.port, "a")).toMatchObject({ failure: "unreachable" });
+        suspended.close();
+    });
+
     // Guards against a request that may run only once and counts as possibly run, since it was written to a connection that the
     // target reset because it has too many: its caller got 502 and could not repeat it.
     test.each([0, 2])(
@@ -270,6 +295,7 @@
         },
     );
 
+    // Guards against a crash of the process when a target's port is out of range.
     test("are unreachable at a port out of range", async () => {
         await start(socket => socket.resetAndDestroy());
         expect(await exchange(pool, 70_000, "a")).toMatchObject({ failure: "unreachable" });
--- a/test/upstream/scripted-target.ts
+++ b/test/upstream/scripted-target.ts
@@ -74,11 +74,14 @@
     onData?(control: Exchange): void;
 }
 
+/** Time in milliseconds in which the connections of the pool have to be established. */
+export const connectTimeoutMs = 300;
+
 /** Creates a pool for tests. */
 export function createPool(keepsConnections: () => boolean = () => true): ConnectionPool {
     return createConnectionPool({
         now: () => performance.now(),
-        connectTimeoutMs: 300,
+        connectTimeoutMs,
         requestIdHeader: "request-id",
         keepsConnections,
     });
