--- a/jest.config.mjs
+++ b/jest.config.mjs
@@ -2,6 +2,7 @@
     rootDir: ".",
     roots: ["<rootDir>/test"],
     testEnvironment: "node",
+    globalSetup: "<rootDir>/test/port-slot.ts",
     testMatch: ["**/*.test.ts"],
     transform: {
         "^.+\\.ts$": ["@swc/jest", {
--- a/test/free-port.ts
+++ b/test/free-port.ts
@@ -2,16 +2,15 @@
 import { createSocket } from "node:dgram";
 import { once } from "node:events";
 import { createServer } from "node:net";
+import { firstPortVariable, portsPerRun } from "./port-slot";
 
-// The ports are below the kernel's ephemeral range: an outgoing connection or a socket bound to port 0 could take an ephemeral
-// port between the check and its use. They are also below the ports of scripts/start.mjs and the experiment tool.
-const firstPort = 10_000;
 /** Each jest worker has its own ports, since a port is unused between its check and its use. */
-const portsPerWorker = 600;
 const workerCount = 12;
+const portsPerWorker = portsPerRun / workerCount;
 
-const workerFirstPort = firstPort + Number(process.env["JEST_WORKER_ID"] ?? 1) % workerCount * portsPerWorker;
-/** Random, so that concurrent runs of jest and the test files of a worker start at different ports. */
+const workerFirstPort = Number(process.env[firstPortVariable])
+    + Number(process.env["JEST_WORKER_ID"] ?? 1) % workerCount * portsPerWorker;
+/** Random, so that the test files of a worker start at different ports. */
 let nextPort = randomInt(portsPerWorker);
 
 /** Returns whether a socket that is being bound gets its address; fails on an error other than an address in use. */
