--- a/test/free-port.ts
+++ b/test/free-port.ts
@@ -6,8 +6,8 @@
 // The ports are below the kernel's ephemeral range: an outgoing connection or a socket bound to port 0 could take an ephemeral
 // port between the check and its use. They are also below the ports of scripts/start.mjs and the experiment tool.
 const firstPort = 10_000;
-/** Each jest worker has its own ports, since a port is unused between its check and its use. */
-const portsPerWorker = 600;
+/** Number of ports of each jest worker. Each has its own, since a port is unused between its check and its use. */
+export const portsPerWorker = 600;
 const workerCount = 12;
 
 const workerFirstPort = firstPort + Number(process.env["JEST_WORKER_ID"] ?? 1) % workerCount * portsPerWorker;
@@ -31,9 +31,18 @@
     return true;
 }
 
+/** Addresses of the first instance of the fleets in the tests; the others of a fleet use the same ports. */
+const firstAddresses = ["127.0.0.1", "127.0.1.1"];
+
 async function isFree(port: number): Promise<boolean> {
-    return await getsAddress(createServer().listen(port, "127.0.0.1"))
-        && await getsAddress(createSocket("udp4").bind(port, "127.0.0.1"));
+    for (const address of firstAddresses) {
+        const isAddressFree = await getsAddress(createServer().listen(port, address))
+            && await getsAddress(createSocket("udp4").bind(port, address));
+        if (!isAddressFree) {
+            return false;
+        }
+    }
+    return true;
 }
 
 /** Returns a loopback port that was free for TCP and UDP at the time of the check; another process may take it before it is used. */
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -165,6 +165,19 @@
     currentFleet = undefined;
 });
 
+/** Waits until each gateway serves requests; fails with the gateway that exits or does not serve in time. */
+async function waitUntilServing(fleet: SoakFleet): Promise<void> {
+    for (const { host, process: child } of fleet.gateways) {
+        let status = 0;
+        const isServing = async () => {
+            ({ status } = await call({ host, port: fleet.callersPort }, { host: "soak.example", key: "key-2" }));
+            return status === 200 || child.exitCode !== null;
+        };
+        await waitUntil(isServing).catch(() => undefined);
+        expect({ host, status, exitCode: child.exitCode }).toEqual({ host, status: 200, exitCode: null });
+    }
+}
+
 async function sendRequests(
     fleet: SoakFleet,
     run: SoakRun,
@@ -277,11 +290,7 @@
         throttled: notices.throttled,
     });
     fleet.publish(["key-1", "key-2"]);
-    for (const { host } of fleet.gateways) {
-        await waitUntil(async () =>
-            (await call({ host, port: fleet.callersPort }, { host: "soak.example", key: "key-2" })).status === 200
-        );
-    }
+    await waitUntilServing(fleet);
     run.copyBeforeRevocation = fleet.store.copy();
     fleet.publish(["key-2"], hasLargeConfigurations ? largeConfigurationRoutes : 0);
     run.revokedAt = performance.now();
