--- a/test/free-port.ts
+++ b/test/free-port.ts
@@ -4,9 +4,10 @@
 import { createServer } from "node:net";
 import { firstPortVariable, portsPerRun } from "./port-slot";
 
-/** Each jest worker has its own ports, since a port is unused between its check and its use. */
+/** Number of jest workers of a run. Each has its own ports, since a port is unused between its check and its use. */
 const workerCount = 12;
-const portsPerWorker = portsPerRun / workerCount;
+/** Number of ports of each jest worker. */
+export const portsPerWorker = portsPerRun / workerCount;
 
 const workerFirstPort = Number(process.env[firstPortVariable])
     + Number(process.env["JEST_WORKER_ID"] ?? 1) % workerCount * portsPerWorker;
@@ -30,9 +31,18 @@
     return true;
 }
 
+/** Addresses of the first instance of the fleets in the tests; the others of a fleet use the same ports. */
+const firstAddresses = ["127.0.0.1", "127.0.1.1"];
+
 async function isFree(port: number): Promise<boolean> {
-    return await getsAddress(createServer().listen(port, "127.0.0.1"))
-        && await getsAddress(createSocket("udp4").bind(port, "127.0.0.1"));
+    for (const address of firstAddresses) {
+        const isAddressFree = await getsAddress(createServer().listen(port, address))
+            && await getsAddress(createSocket("udp4").bind(port, address));
+        if (!isAddressFree) {
+            return false;
+        }
+    }
+    return true;
 }
 
 /** Returns a loopback port that was free for TCP and UDP at the time of the check; another process may take it before it is used. */
