--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -63,6 +63,8 @@
 const firstIdleTimeoutMs = 15_000;
 /** Minimum change of a total of retries that is reported to other instances; each request adds a fraction of a retry. */
 const minRetryTotalChange = 0.5;
+/** Time in milliseconds in which the last lines of the log are written at the end of a stop; less than the margin before the kill. */
+const maxFlushMs = 200;
 /** Tokens by which another instance's total falls before a line is written; requests that have not run put single ones back. */
 const minLoggedFall = 3;
 
@@ -366,6 +368,7 @@
         }
         pool.close();
         platform.store.close();
+        await Promise.race([log.flush(), clock.sleep(maxFlushMs)]);
     }
 
     let stopped: Promise<void> | undefined;
--- a/packages/telemetry/src/decision-log.ts
+++ b/packages/telemetry/src/decision-log.ts
@@ -49,6 +49,8 @@
     count(name: string): void;
     /** Suppresses lines below a level from now on. */
     setLevel(level: log.LogLevelDesc): void;
+    /** Resolves when all lines have been written; never while nobody reads them. */
+    flush(): Promise<void>;
     /** Counters of events, by name. */
     counters(): ReadonlyMap<string, number>;
 }
@@ -140,6 +142,7 @@
         },
         count,
         setLevel: level => logger.setLevel(level, false),
+        flush: () => writer.flush(),
         counters: () => counters,
     };
 }
--- a/test/replication/silent-log.ts
+++ b/test/replication/silent-log.ts
@@ -10,6 +10,7 @@
         fault: event => void events.push(event),
         count: () => undefined,
         setLevel: () => undefined,
+        flush: () => Promise.resolve(),
         counters: () => new Map(),
     };
 }
--- a/test/soak/soak-fleet.ts
+++ b/test/soak/soak-fleet.ts
@@ -30,6 +30,8 @@
     program?: string;
     /** Whether the gateways' error output is discarded; Jest takes a report of exhausted memory in it as its own. */
     discardsErrors?: boolean;
+    /** Descriptor for the output of the gateways; by default a file in the directory for logs, if there is one. */
+    output?: number;
     /** Settings of the gateways beyond the usual ones. */
     settings?: object;
     /** Time limit of the routes in milliseconds. */
@@ -161,7 +163,8 @@
                 env: { TREFOILLADDER_NODE_FILE: path },
                 stdio: [
                     "ignore",
-                    logDirectory === undefined ? "ignore" : openSync(join(logDirectory, host), "a"),
+                    sizes.output
+                        ?? (logDirectory === undefined ? "ignore" : openSync(join(logDirectory, host), "a")),
                     sizes.discardsErrors === true ? "ignore" : "inherit",
                 ],
             },
--- a/test/telemetry/decision-log.test.ts
+++ b/test/telemetry/decision-log.test.ts
@@ -13,6 +13,7 @@
                 }
                 return writerAccepts();
             },
+            flush: () => Promise.resolve(),
         },
         wallClock: () => now,
     });
