--- a/test/placement/admission-simulation.test.ts
+++ b/test/placement/admission-simulation.test.ts
@@ -1,32 +1,15 @@
+import { largeService } from "./large-service";
 import { simulateWork } from "./work-simulation";
 import type { WorkLoad, WorkResult } from "./work-simulation";
 
-/** A service of a large fleet with an urgent class of short requests and a less urgent one of long requests. */
-const service: Omit<WorkLoad, "byWork"> = {
-    seed: 1,
-    instances: 118,
-    targets: 69,
-    slots: 6,
-    queueCapacity: 24,
-    classes: [
-        { share: 0.4, serviceMs: 94, objectiveMs: 300, deadlineMs: 1_500, priority: 0 },
-        { share: 0.6, serviceMs: 577, objectiveMs: 2_000, deadlineMs: 6_000, priority: 2 },
-    ],
-    loadShare: 0.75,
-    slow: { count: 0, factor: 1 },
-    organisations: 20,
-    surge: undefined,
-    durationMs: 24_000,
-    warmUpMs: 8_000,
-    countedUntilMs: 18_000,
-};
+const usualLoad = { loadShare: 0.75, durationMs: 24_000, warmUpMs: 8_000, countedUntilMs: 18_000 };
 const surgeMs = { fromMs: 9_000, toMs: 15_000 };
 const timeoutMs = 400_000;
 
 function both(load: Partial<WorkLoad>): { byCount: WorkResult; byWork: WorkResult; } {
     return {
-        byCount: simulateWork({ ...service, ...load, byWork: false }),
-        byWork: simulateWork({ ...service, ...load, byWork: true }),
+        byCount: simulateWork(largeService({ ...usualLoad, ...load, byWork: false })),
+        byWork: simulateWork(largeService({ ...usualLoad, ...load, byWork: true })),
     };
 }
 
