--- a/packages/gateway/src/response-check.ts
+++ b/packages/gateway/src/response-check.ts
@@ -1,5 +1,5 @@
 import type { LoadReport } from "@trefoilladder/placement";
-import { headerValue } from "@trefoilladder/upstream";
+import { headerValue, isFinalStatus } from "@trefoilladder/upstream";
 import type { ResponseHead } from "@trefoilladder/upstream";
 import { isHopByHopHeader } from "./caller-request";
 import type { HeaderNames } from "./header-names";
@@ -21,8 +21,6 @@
 /** One of the classes. */
 export type ResponseKind = typeof responseKind[keyof typeof responseKind];
 
-/** Largest status of a final response. */
-const maxStatus = 599;
 /** Statuses that imply to a caller that its request has not run. */
 const notRunStatuses = new Set([408, 421, 429, 503]);
 
@@ -41,7 +39,7 @@
     usesNewConnection: boolean,
 ): ResponseKind {
     const hasId = headerValue(head, headerNames.requestId) !== undefined;
-    if (head.status < 200 || head.status > maxStatus) {
+    if (!isFinalStatus(head.status)) {
         return responseKind.unusable;
     }
     if (!hasId && !usesNewConnection) {
--- a/packages/upstream/src/target-connection.ts
+++ b/packages/upstream/src/target-connection.ts
@@ -6,6 +6,7 @@
 import { Socket } from "node:net";
 import { createResponseParser } from "./response-parser";
 import type { ResponseHead } from "./response-parser";
+import { isFinalStatus, isInterimStatus } from "./response-status";
 import { createSecondResponseCheck } from "./second-response";
 import type { SecondResponseCheck } from "./second-response";
 
@@ -125,25 +126,22 @@
     return undefined;
 }
 
-/** Returns whether a response precedes the final one. */
-function isInterim({ status }: ResponseHead): boolean {
-    return status >= 100 && status < 200;
-}
-
 /** Returns whether headers announce a body. */
 function announcesBody(head: ResponseHead): boolean {
     return headerValue(head, "transfer-encoding") !== undefined || (head.bodyLength ?? 0) > 0;
 }
 
-/** Returns an error when the status is not one of a response: a final one is 200 to 599, an interim one has no body. */
+/** Returns an error when the status is not one of a response, or an interim response has a body. */
 function findStatusError(head: ResponseHead): Error | undefined {
-    if (head.status < 100 || head.status > 599) {
+    if (!isInterimStatus(head.status) && !isFinalStatus(head.status)) {
         return new Error(`the status ${head.status} is not one of HTTP`);
     }
     if (head.status === 101) {
         return new Error("the target switches protocols, which was not requested");
     }
-    return isInterim(head) && announcesBody(head) ? new Error("an interim response has a body") : undefined;
+    return isInterimStatus(head.status) && announcesBody(head)
+        ? new Error("an interim response has a body")
+        : undefined;
 }
 
 function idleLimitOf(head: ResponseHead): number {
@@ -242,10 +240,10 @@
                 return false;
             }
             const responseId = headerValue(head, options.requestIdHeader);
-            skipping = isInterim(head) || responseId !== undefined && responseId !== current.request.id;
+            skipping = isInterimStatus(head.status) || responseId !== undefined && responseId !== current.request.id;
             if (skipping) {
                 headsBeforeResponse += 1;
-                if (head.status >= 200) {
+                if (isFinalStatus(head.status)) {
                     current.listener.skipped(responseId ?? "", head);
                 }
                 return false;
