--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -8,8 +8,12 @@
 import type { DecisionLog } from "@trefoilladder/telemetry";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import type { FieldPacer } from "./field-pacing";
 import { memoryUse } from "./memory-budget";
 import type { MemoryBudget, MemoryHolder } from "./memory-budget";
+import { createReadHold } from "./read-hold";
+import { createRequestTurns } from "./request-turns";
+import type { RequestTurns } from "./request-turns";
 import { breakOffResponse } from "./response-relay";
 
 /** Registry of the connections. */
@@ -17,10 +21,19 @@
     /** Adds a connection; it is removed when it closes. Above the limit, the least active one is closed. */
     add(socket: Socket): void;
     /**
-     * Adds a request; returns false if an earlier response closes the connection, or if too many requests wait on it, so that the
-     * request must not be handled.
+     * Adds a request; returns false if an earlier response closes the connection, or if it would have to wait while memory is short,
+     * so that the request must not be handled.
      */
     accept(incoming: IncomingMessage, outgoing: ServerResponse): boolean;
+    /**
+     * Returns undefined if a request is handled at once, otherwise a promise of whether it is; it is not when the connection closes
+     * before its turn.
+     */
+    turnOf(incoming: IncomingMessage): Promise<boolean> | undefined;
+    /** Returns what has been read from a connection; undefined for one that has closed. */
+    readStateOf(socket: Socket): ReadState | undefined;
+    /** Accepts no further request on a connection and closes it after the pending responses. */
+    closeAfterPending(socket: Socket): void;
     /** Returns the memory of the connection of a request. */
     memoryOf(incoming: IncomingMessage): Pick<MemoryHolder, "add" | "progress">;
     /** Returns whether a later request on the same connection has been accepted. */
@@ -45,12 +58,23 @@
     readonly pendingCount: number;
 }
 
+/** What has been read from a connection. */
+export interface ReadState {
+    newestRequest: IncomingMessage | undefined;
+    /** Time in milliseconds until which nothing was read because requests waited; undefined if that was never so. */
+    lastHeldAt: number | undefined;
+    pendingCount: number;
+    /** Whether a part of a response has been sent to the oldest pending request. */
+    hasBegunResponse: boolean;
+}
+
 interface CallerConnection {
     pending: Set<ServerResponse>;
     newestRequest: IncomingMessage | undefined;
     acceptsRequests: boolean;
-    /** Whether a request was not accepted because too many were pending. */
-    hasExcess: boolean;
+    turns: RequestTurns;
+    /** Whether the response to the last accepted request closes the connection. */
+    closesAfterLast: boolean;
     /** The oldest response when it was first found complete, and the time of that. */
     unsent: { outgoing: ServerResponse; since: number; } | undefined;
     /** Requests whose bodies are being read. */
@@ -60,8 +84,10 @@
 
 /** Options of the registry. */
 export interface CallerConnectionOptions {
-    budget: Pick<MemoryBudget, "open" | "dropLeastActive">;
+    budget: Pick<MemoryBudget, "open" | "dropLeastActive" | "acceptsWaiting">;
+    fieldPacer: FieldPacer;
     maxConnections: number;
+    now(): number;
     log: Pick<DecisionLog, "request" | "count">;
 }
 
@@ -70,19 +96,17 @@
 /** Memory in bytes of a request, and of each of its header fields; they are on the heap, whose limit is lower than the machine's. */
 const requestBytes = 12 * 1024;
 const headerFieldBytes = 512;
-/**
- * Header fields from which a request is the last on its connection. Parsing thousands of short fields takes milliseconds, and a
- * client that sends such requests without a wait would keep the process from others.
- */
-const maxFieldsWithRequestsBehind = 250;
-/** Requests on one connection whose responses have not been sent. */
-export const maxPendingRequests = 64;
+/** The same while a request waits for its turn; nothing has been copied for its target yet. */
+const waitingRequestBytes = 5 * 1024;
+const waitingFieldBytes = 128;
 
 /** Memory of a connection that has closed. */
 const noMemory: Pick<MemoryHolder, "add" | "progress"> = { add: () => undefined, progress: () => undefined };
 
 /** Creates a registry without connections. */
-export function createCallerConnections({ budget, maxConnections, log }: CallerConnectionOptions): CallerConnections {
+export function createCallerConnections(options: CallerConnectionOptions): CallerConnections {
+    const { budget, fieldPacer, maxConnections, now, log } = options;
+    const turns = new WeakMap<IncomingMessage, Promise<boolean>>();
     const connections = new Map<Socket, CallerConnection>();
 
     function countPending(): number {
@@ -91,8 +115,8 @@
         return count;
     }
 
-    function waitsForCaller({ pending, readingBodies }: CallerConnection): boolean {
-        if (pending.size === 0 || readingBodies.size > 0) {
+    function waitsForCaller({ pending, readingBodies, turns: { isPaced } }: CallerConnection): boolean {
+        if (pending.size === 0 || readingBodies.size > 0 || isPaced()) {
             return true;
         }
         const [oldest] = pending;
@@ -122,6 +146,15 @@
         }
     }
 
+    function closeAfterPending(socket: Socket, connection: CallerConnection): void {
+        connection.closesAfterLast = true;
+        connection.acceptsRequests = false;
+        connection.turns.endReading();
+        if (connection.pending.size === 0) {
+            socket.destroySoon();
+        }
+    }
+
     return {
         add(socket) {
             if (connections.size >= maxConnections) {
@@ -135,7 +168,13 @@
                 pending: new Set(),
                 newestRequest: undefined,
                 acceptsRequests: true,
-                hasExcess: false,
+                closesAfterLast: false,
+                turns: createRequestTurns({
+                    readHold: createReadHold(socket),
+                    pacer: fieldPacer,
+                    now,
+                    isOpen: () => !socket.destroyed && !socket.writableEnded,
+                }),
                 unsent: undefined,
                 readingBodies: new Set(),
                 memory: budget.open({
@@ -147,6 +186,7 @@
             socket.on("close", () => {
                 connections.delete(socket);
                 connection.memory.close();
+                connection.turns.cancel();
                 closePending(connection);
             });
             connection.memory.add(memoryUse.connection, connectionBytes);
@@ -156,49 +196,79 @@
             const connection = connections.get(socket);
             if (connection === undefined || !connection.acceptsRequests) {
                 // What follows will not be handled either.
-                socket.pause();
+                connection?.turns.endReading();
                 return false;
             }
-            if (connection.pending.size >= maxPendingRequests) {
-                connection.hasExcess = true;
-                connection.acceptsRequests = false;
-                socket.pause();
+            const fields = incoming.rawHeaders.length / 2;
+            const bytes = requestBytes + fields * headerFieldBytes;
+            const waitingBytes = waitingRequestBytes + fields * waitingFieldBytes;
+            const canWait = budget.acceptsWaiting() && !connection.turns.waitsTooLong();
+            if (connection.turns.hasToWait(bytes) && !canWait) {
                 log.request("", "caller_reads_too_late", { pending: connection.pending.size });
+                closeAfterPending(socket, connection);
                 return false;
             }
-            const fields = incoming.rawHeaders.length / 2;
-            const bytes = requestBytes + fields * headerFieldBytes;
-            if (fields > maxFieldsWithRequestsBehind) {
-                connection.hasExcess = true;
-                connection.acceptsRequests = false;
+            const turn = connection.turns.add({ bytes, fields });
+            let chargedBytes = turn === undefined ? bytes : waitingBytes;
+            if (turn !== undefined) {
+                turns.set(incoming, turn);
+                void turn.then(isHandled => {
+                    if (isHandled && connection.pending.has(outgoing)) {
+                        connection.memory.add(memoryUse.request, bytes - chargedBytes);
+                        chargedBytes = bytes;
+                    }
+                });
             }
             connection.newestRequest = incoming;
             connection.pending.add(outgoing);
             outgoing.on("close", () => {
                 connection.pending.delete(outgoing);
                 connection.readingBodies.delete(incoming);
-                connection.memory.add(memoryUse.request, -bytes);
+                connection.memory.add(memoryUse.request, -chargedBytes);
                 if (outgoing.writableFinished) {
                     connection.memory.restart();
                 }
-                if (connection.hasExcess && connection.pending.size === 0) {
+                connection.turns.finish(bytes);
+                if (connection.closesAfterLast && connection.pending.size === 0) {
                     socket.destroySoon();
                 }
             });
-            connection.memory.add(memoryUse.request, bytes);
+            connection.memory.add(memoryUse.request, chargedBytes);
             return !socket.destroyed;
         },
+        turnOf: incoming => turns.get(incoming),
+        readStateOf(socket) {
+            const connection = connections.get(socket);
+            if (connection === undefined) {
+                return undefined;
+            }
+            const { newestRequest, turns: { lastHeldAt }, pending } = connection;
+            const [oldest] = pending;
+            return {
+                newestRequest,
+                lastHeldAt: lastHeldAt(),
+                pendingCount: pending.size,
+                hasBegunResponse: oldest?.headersSent === true,
+            };
+        },
+        closeAfterPending(socket) {
+            const connection = connections.get(socket);
+            if (connection !== undefined) {
+                closeAfterPending(socket, connection);
+            }
+        },
         memoryOf: ({ socket }) => connections.get(socket)?.memory ?? noMemory,
         hasLaterRequest: incoming => connections.get(incoming.socket)?.newestRequest !== incoming,
         acceptNoneAfter(incoming) {
             const connection = connections.get(incoming.socket);
             if (connection !== undefined) {
                 connection.acceptsRequests = false;
+                connection.turns.cancel();
             }
         },
         isLastAccepted(incoming) {
             const connection = connections.get(incoming.socket);
-            return connection !== undefined && connection.hasExcess && connection.newestRequest === incoming;
+            return connection !== undefined && connection.closesAfterLast && connection.newestRequest === incoming;
         },
         setReadsBody(incoming, reads) {
             const connection = connections.get(incoming.socket);
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -2,6 +2,7 @@
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { CallerConnections } from "./caller-connections";
+import { createClientErrors } from "./client-errors";
 
 /** HTTP server for callers. */
 export interface CallerServer {
@@ -26,8 +27,9 @@
 const checkIntervalMs = 500;
 
 /** Creates the HTTP server for callers. */
-export function createCallerServer({ connections, handle, ignored, headTooLong }: {
+export function createCallerServer({ connections, now, handle, ignored, headTooLong }: {
     connections: CallerConnections;
+    now(): number;
     handle(incoming: IncomingMessage, outgoing: ServerResponse): void;
     /** Called for a request behind a response that closes its connection; it is not handled. */
     ignored(incoming: IncomingMessage): void;
@@ -58,13 +60,13 @@
     server.closeIdleConnections = connections.closeIdle;
     server.on("connection", socket => {
         socket.setNoDelay(true);
-        socket.on("error", (error: NodeJS.ErrnoException) => {
-            if (error.code === "HPE_HEADER_OVERFLOW") {
-                headTooLong();
-            }
-        });
+        socket.on("error", () => undefined);
         connections.add(socket);
     });
+    server.on(
+        "clientError",
+        createClientErrors({ connections, now, headTimeoutMs: () => server.headersTimeout, headTooLong }),
+    );
     return {
         server,
         configure(limits) {
--- a/packages/gateway/src/chunk-pacing.ts
+++ b/packages/gateway/src/chunk-pacing.ts
@@ -5,6 +5,8 @@
  * that a few clients keep the process from everything else. Such bodies are read at a bounded rate of chunks in the whole process.
  */
 
+import { createRatePacer } from "./rate-pacing";
+
 /** Pace of small chunks in the whole process. */
 export interface ChunkPacer {
     /** Counts a chunk. */
@@ -22,15 +24,13 @@
 
 /** Creates a pacer that has counted nothing. */
 export function createChunkPacer(now: () => number): ChunkPacer {
-    /** Time up to which the counted chunks take at the permitted rate. */
-    let paidUntil = -Infinity;
-    const burstMs = burstChunks / chunksPerMs;
+    const pacer = createRatePacer(now, { perMs: chunksPerMs, burst: burstChunks });
     return {
         count(bytes) {
             if (bytes < smallChunkBytes) {
-                paidUntil = Math.max(paidUntil, now() - burstMs) + 1 / chunksPerMs;
+                pacer.count(1);
             }
         },
-        delayMs: () => Math.max(0, paidUntil - now()),
+        delayMs: pacer.delayMs,
     };
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -23,6 +23,7 @@
 import { createCopyListener } from "./copy-server";
 import { defaultMaxDescriptors, divideDescriptors } from "./descriptor-shares";
 import { createEvacuations } from "./evacuations";
+import { createFieldPacer } from "./field-pacing";
 import { createIdleLimits } from "./idle-limits";
 import { createLimitDecisions } from "./limit-decisions";
 import { createLimitSummary, limitSummaryIntervalMs } from "./limit-summary";
@@ -86,7 +87,13 @@
     let stopTimes: StopTimes | undefined;
     const budget = createMemoryBudget(budgetBytes(settings.memoryMb ?? defaultMemoryMb));
     const descriptors = divideDescriptors(settings.maxDescriptors ?? defaultMaxDescriptors);
-    const connections = createCallerConnections({ budget, maxConnections: descriptors.callers, log });
+    const connections = createCallerConnections({
+        budget,
+        fieldPacer: createFieldPacer(now),
+        maxConnections: descriptors.callers,
+        now,
+        log,
+    });
 
     const pool = createConnectionPool({
         now,
@@ -266,6 +273,7 @@
     });
     const callers = createCallerServer({
         connections,
+        now,
         handle: flow,
         ignored(incoming) {
             log.request(String(incoming.headers[platform.headers.requestId]), "ignored_behind_close", {});
--- a/packages/gateway/src/memory-budget.ts
+++ b/packages/gateway/src/memory-budget.ts
@@ -42,6 +42,8 @@
     open(options: HolderOptions): MemoryHolder;
     /** Returns whether the body of a further request is read. */
     acceptsBodies(): boolean;
+    /** Returns whether a further request that has to wait for others on its connection is kept. */
+    acceptsWaiting(): boolean;
     /** Returns whether a further request is handled. */
     acceptsRequests(): boolean;
     /** Drops the holder that has waited longest for its peer, of those that hold memory for a use; returns whether there was one. */
@@ -59,7 +61,7 @@
 /** Largest budget in bytes: a part of it is on the heap, whose limit does not depend on the machine. */
 const maxBudgetBytes = 128 * 1024 * 1024;
 
-/** Shares of the budget: no further bodies, dropping begins, dropping ends, no further requests. */
+/** Shares of the budget: no further bodies and waiting requests, dropping begins, dropping ends, no further requests. */
 const bodyShare = 0.5;
 const dropShare = 0.75;
 const afterDropShare = 0.65;
@@ -158,6 +160,7 @@
             };
         },
         acceptsBodies: () => total < bodyShare * totalBytes,
+        acceptsWaiting: () => total < bodyShare * totalBytes,
         acceptsRequests: () => total < requestShare * totalBytes,
         dropLongestWaiting: use => dropFirst(({ held }) => held[use] > 0),
         dropLeastActive: () => dropFirst(entry => !holdsMoreThanConnection(entry)) || dropFirst(() => true),
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -49,7 +49,7 @@
 export interface FlowParts extends RunParts {
     connections: Pick<
         CallerConnections,
-        "hasLaterRequest" | "acceptNoneAfter" | "isLastAccepted" | "memoryOf" | "setReadsBody"
+        "turnOf" | "hasLaterRequest" | "acceptNoneAfter" | "isLastAccepted" | "memoryOf" | "setReadsBody"
     >;
     budget: Pick<MemoryBudget, "acceptsBodies" | "acceptsRequests" | "dropLongestWaiting">;
     pacer: ChunkPacer;
@@ -396,6 +396,15 @@
         if (source !== undefined) {
             sources.set(incoming, source);
         }
+        const turn = parts.connections.turnOf(incoming);
+        if (turn !== undefined) {
+            source?.hold();
+            if (!await turn) {
+                logNotHandled(incoming);
+                return;
+            }
+            source?.release();
+        }
         const read = readCallerRequest(incoming, headerNames);
         if (read.isErr()) {
             const id = incoming.headers[headerNames.requestId];
@@ -491,6 +500,13 @@
         finish(incoming, outgoing, admitted, run, result);
     }
 
+    /** Logs that a request was not handled because its connection closes before its turn. */
+    function logNotHandled(incoming: IncomingMessage): void {
+        const event = incoming.socket.destroyed ? "caller_gone" : "ignored_behind_close";
+        log.request(String(incoming.headers[headerNames.requestId] ?? ""), event, {});
+        sources.get(incoming)?.discard();
+    }
+
     /** Returns whether the caller has disconnected; a response that waits for earlier ones on its connection is not told then. */
     function isGone(incoming: IncomingMessage, outgoing: ServerResponse, admitted: AdmittedRequest): boolean {
         const gone = outgoing.destroyed || incoming.socket.destroyed;
--- a/test/gateway/memory-budget.test.ts
+++ b/test/gateway/memory-budget.test.ts
@@ -1,4 +1,5 @@
 import { createChunkPacer } from "../../packages/gateway/src/chunk-pacing";
+import { createFieldPacer } from "../../packages/gateway/src/field-pacing";
 import { createMemoryBudget } from "../../packages/gateway/src/memory-budget";
 import type { MemoryBudget, MemoryHolder } from "../../packages/gateway/src/memory-budget";
 
@@ -89,3 +90,20 @@
     expect(chunks).toBeLessThanOrEqual(20_000 + 50 * 10_000 + 1);
     expect(chunks).toBeGreaterThan(400_000);
 });
+
+// Guards against delaying ordinary requests, or closing the connection of a single caller that sends many fields.
+test("heads with many fields are delayed, and one connection alone does not exceed the pace", () => {
+    let time = 0;
+    const pacer = createFieldPacer(() => time);
+    const fieldsOfOneRead = 16_000;
+    for (let read = 0; read < 20; read++) {
+        time += pacer.delayAfterMs(fieldsOfOneRead);
+        expect(pacer.isExceeded()).toBe(false);
+    }
+    expect(time).toBeGreaterThan(0);
+    expect(pacer.delayAfterMs(20)).toBe(0);
+    Array.from({ length: 10 }, () => pacer.delayAfterMs(fieldsOfOneRead));
+    expect(pacer.isExceeded()).toBe(true);
+    time += 60_000;
+    expect(pacer.isExceeded()).toBe(false);
+});
