--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -46,7 +46,7 @@
 {
     connections: Pick<
         CallerConnections,
-        "hasLaterRequest" | "acceptNoneAfter" | "isLastAccepted" | "memoryOf" | "setReadsBody"
+        "turnOf" | "hasLaterRequest" | "acceptNoneAfter" | "isLastAccepted" | "memoryOf" | "setReadsBody"
     >;
     budget: RequestRoomParts["budget"];
     pacer: ChunkPacer;
@@ -107,6 +107,15 @@
     async function handle(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
         const arrivedAt = now();
         const source = createSource(incoming);
+        const turn = parts.connections.turnOf(incoming);
+        if (turn !== undefined) {
+            source?.hold();
+            if (!await turn) {
+                logNotHandled(incoming);
+                return;
+            }
+            source?.release();
+        }
         const read = readCallerRequest(incoming, headerNames);
         if (read.isErr()) {
             const id = incoming.headers[headerNames.requestId];
@@ -212,6 +221,13 @@
         });
     }
 
+    /** Logs that a request was not handled because its connection closes before its turn. */
+    function logNotHandled(incoming: IncomingMessage): void {
+        const event = incoming.socket.destroyed ? "caller_gone" : "ignored_behind_close";
+        log.request(String(incoming.headers[headerNames.requestId] ?? ""), event, {});
+        sources.get(incoming)?.discard();
+    }
+
     /** Returns whether the caller has disconnected; a response that waits for earlier ones on its connection is not told then. */
     function isGone(incoming: IncomingMessage, outgoing: ServerResponse, admitted: AdmittedRequest): boolean {
         const gone = outgoing.destroyed || incoming.socket.destroyed;
