--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,11 +1,12 @@
 export { createShardOwnership, expectedIncarnationHeader } from "./candidate-ownership";
 export type { ShardOwnershipOptions, ShardOwnershipParts, ShardOwnershipService } from "./candidate-ownership";
 export { createMembership } from "./gossip-membership";
-export type { MembershipOptions, MembershipParts, MembershipService } from "./gossip-membership";
+export type { MembershipParts } from "./gossip-membership";
 export { instanceIdOf } from "./incarnation";
 export type { Member, Membership, MembershipPeer } from "./membership";
 export { MembershipFailure, membershipFailure } from "./membership-failure";
 export type { MembershipFailureCode } from "./membership-failure";
+export type { MembershipOptions, MembershipService } from "./membership-service";
 export { createPeerClient } from "./peer-client";
 export type { PeerClient } from "./peer-client";
 export { createRoster, rosterStream } from "./roster";
