--- a/packages/routing/src/service-state.ts
+++ b/packages/routing/src/service-state.ts
@@ -1,6 +1,8 @@
 import type { Attempt, SlotRequest } from "./attempt";
 import type { Ejection } from "./ejection-decisions";
+import type { FloorTarget } from "./ejection-floor";
 import type { RoutingFailure } from "./routing-failure";
+import { isCold, isLeaving } from "./target-state";
 import type { TargetState } from "./target-state";
 import { createWaitQueue } from "./wait-queue";
 import type { WaitQueue } from "./wait-queue";
@@ -50,3 +52,12 @@
         evidenceCollectedAt: now,
     };
 }
+
+/** Returns what the floor depends on of the targets of a service. */
+export function floorTargets(service: ServiceState, now: number): FloorTarget[] {
+    return [...service.targets.values()].map(state => ({
+        id: state.target.id,
+        leaving: isLeaving(state, now),
+        cold: isCold(state, now),
+    }));
+}
