--- a/packages/gateway/src/target-sets.ts
+++ b/packages/gateway/src/target-sets.ts
@@ -10,9 +10,14 @@
 export interface TargetSets {
     /**
      * Returns the targets of a service in the order of preference for a request; undefined for a service without a set.
-     * `inProgress` is the number of requests of this instance that are at these targets.
+     * `countInProgress` returns the number of requests of this instance that are at these targets; it is only called for a
+     * service with a set.
      */
-    ranked(service: string, targets: readonly ListedTarget[], inProgress: number): ListedTarget[] | undefined;
+    ranked(
+        service: string,
+        targets: readonly ListedTarget[],
+        countInProgress: () => number,
+    ): ListedTarget[] | undefined;
     /** Marks the ranked candidates of a service that are outside the set or need a new connection. */
     mark(service: string, ranked: readonly MarkedCandidate[], maxIdleMs: number): void;
 }
@@ -98,12 +103,12 @@
     }
 
     return {
-        ranked(service, targets, inProgress) {
+        ranked(service, targets, countInProgress) {
             if (targets.length <= maxUnrankedTargets) {
                 sets.delete(service);
                 return undefined;
             }
-            return setOf(service, targets, inProgress).ranking.order.map(position => targets[position]!);
+            return setOf(service, targets, countInProgress()).ranking.order.map(position => targets[position]!);
         },
         mark(service, ranked, maxIdleMs) {
             const { setSize, ranking } = sets.get(service)!;
--- a/packages/gateway/src/target-tracker.ts
+++ b/packages/gateway/src/target-tracker.ts
@@ -285,8 +285,11 @@
         candidates(service, excluded, { maxIdleMs = 0, work } = {}) {
             const at = now();
             const usable = usableTargets(service);
-            const inProgress = usable.reduce((sum, { id }) => sum + entryOf(id).load.inFlight, 0);
-            const ranked = targetSets?.ranked(service, usable, inProgress);
+            const ranked = targetSets?.ranked(
+                service,
+                usable,
+                () => usable.reduce((sum, { id }) => sum + entryOf(id).load.inFlight, 0),
+            );
             const finishOf = work === undefined ? undefined : finishesOf(service, work, at);
             const candidates = (ranked ?? usable)
                 .filter(target => !excluded.has(target.id))
--- a/test/gateway/target-sets.test.ts
+++ b/test/gateway/target-sets.test.ts
@@ -15,9 +15,9 @@
     /** Returns the ids of the set after some requests, with as many requests in progress. */
     function setAfter(requests: number, inProgress: number, listed = targets): string[] {
         for (let count = 0; count < requests; count++) {
-            sets.ranked("dossier", listed, inProgress);
+            sets.ranked("dossier", listed, () => inProgress);
         }
-        const candidates = sets.ranked("dossier", listed, inProgress)!.map(target => ({
+        const candidates = sets.ranked("dossier", listed, () => inProgress)!.map(target => ({
             target,
             unhealthyProbability: 0.01,
             pathFailureProbability: 0.01,
