--- a/test/configuration/configuration-follower.test.ts
+++ b/test/configuration/configuration-follower.test.ts
@@ -11,6 +11,7 @@
 import { createTelemetry } from "@trefoilladder/telemetry";
 import { ok } from "neverthrow";
 import { setTimeout as delay } from "node:timers/promises";
+import { waitUntil } from "../wait-until";
 import { createPlan, putPlan } from "./edits";
 import { createMemoryLog } from "./memory-log";
 import type { MemoryLog } from "./memory-log";
@@ -40,13 +41,6 @@
     };
 }
 
-/** Polls until a condition holds; bounded only by the time limit of the test. */
-async function waitUntil(condition: () => boolean): Promise<void> {
-    while (!condition()) {
-        await delay(5);
-    }
-}
-
 async function appendPlans(log: MemoryLog, count: number, from = 0): Promise<void> {
     for (let index = from; index < from + count; index++) {
         await log.append(
--- a/test/idempotency/keyed-requests.test.ts
+++ b/test/idempotency/keyed-requests.test.ts
@@ -4,8 +4,9 @@
 import { once } from "node:events";
 import type { Server } from "node:http";
 import type { AddressInfo } from "node:net";
-import { rawResponse, startProxy, useRawTargets, waitUntil } from "../proxy/fixtures";
+import { rawResponse, startProxy, useRawTargets } from "../proxy/fixtures";
 import type { ProxyFixture, RawTarget } from "../proxy/fixtures";
+import { waitUntil } from "../wait-until";
 
 interface Instance extends ProxyFixture {
     innerOrigin: string;
--- a/test/proxy/caller-input.test.ts
+++ b/test/proxy/caller-input.test.ts
@@ -1,4 +1,5 @@
-import { rawResponse, sendRaw, startProxy, startRawTarget, waitUntil } from "./fixtures";
+import { waitUntil } from "../wait-until";
+import { rawResponse, sendRaw, startProxy, startRawTarget } from "./fixtures";
 import type { ProxyFixture } from "./fixtures";
 
 describe("caller input", () => {
--- a/test/proxy/fixtures.ts
+++ b/test/proxy/fixtures.ts
@@ -198,13 +198,6 @@
     return response;
 }
 
-/** Polls a condition until it is true; the test's own timeout ends the wait. */
-export async function waitUntil(condition: () => boolean): Promise<void> {
-    while (!condition()) {
-        await new Promise(resolve => setTimeout(resolve, 5));
-    }
-}
-
 /** Returns an origin on which no server listens. */
 export async function closedOrigin(): Promise<string> {
     const server = createServer();
--- a/test/proxy/forwarding.test.ts
+++ b/test/proxy/forwarding.test.ts
@@ -1,5 +1,6 @@
 import { ok } from "neverthrow";
-import { closedOrigin, rawResponse, sendRaw, startProxy, useRawTargets, waitUntil } from "./fixtures";
+import { waitUntil } from "../wait-until";
+import { closedOrigin, rawResponse, sendRaw, startProxy, useRawTargets } from "./fixtures";
 import type { ProxyFixture } from "./fixtures";
 
 describe("forwarding", () => {
--- a/test/replication/store-era.test.ts
+++ b/test/replication/store-era.test.ts
@@ -1,20 +1,17 @@
 import { createVirtualClock } from "@trefoilladder/clock";
 import { createStoreEra, createStreamFollower, readerRole, StoreFailure, stream } from "@trefoilladder/replication";
-import type { KeyedRecord, ReaderRole, RecordBatch, RecordStore } from "@trefoilladder/replication";
+import type { ReaderRole, RecordBatch, RecordStore } from "@trefoilladder/replication";
 import { err, ok } from "neverthrow";
 import type { Result } from "neverthrow";
 import { createReadSchedule } from "../../packages/replication/src/read-schedule";
 import { createRandomSource } from "../../packages/routing/src/random-source";
+import { keyedRecord } from "./keyed-record";
 import { silentLog } from "./silent-log";
 
 type Response = Result<RecordBatch, StoreFailure>;
 
-function record(key: string): KeyedRecord {
-    return { key, value: Buffer.from("v") };
-}
-
 function batch(keys: readonly string[], nextOffset: number, era?: number): RecordBatch {
-    return { records: keys.map(record), nextOffset, era };
+    return { records: keys.map(keyedRecord), nextOffset, era };
 }
 
 /** Starts a follower against scripted responses; a call beyond the script and a "pending" one wait for `respond`. */
--- a/test/replication/stream-follower.test.ts
+++ b/test/replication/stream-follower.test.ts
@@ -1,8 +1,9 @@
 import { createVirtualClock } from "@trefoilladder/clock";
 import { chooseReaderRole, createStreamFollower, readerRole, StoreFailure, stream } from "@trefoilladder/replication";
-import type { KeyedRecord, ReaderRole, RecordBatch, RecordStore } from "@trefoilladder/replication";
+import type { ReaderRole, RecordBatch, RecordStore } from "@trefoilladder/replication";
 import { err, ok } from "neverthrow";
 import type { Result } from "neverthrow";
+import { keyedRecord } from "./keyed-record";
 import { silentLog } from "./silent-log";
 
 type ScriptedResponse = Result<RecordBatch, StoreFailure> | "silent" | "stalled" | "pending" | Transfer;
@@ -16,10 +17,6 @@
 /** Time between two parts of a response, in milliseconds. */
 const partIntervalMs = 100;
 
-function record(key: string): KeyedRecord {
-    return { key, value: Buffer.from("v") };
-}
-
 /** Starts a follower against scripted responses; a read beyond the script receives none. */
 function startFollower(
     script: readonly ScriptedResponse[],
@@ -128,8 +125,8 @@
 describe("stream follower", () => {
     test("reads the newest records, then the following ones", async () => {
         const harness = startFollower([
-            ok({ records: [record("a")], nextOffset: 3 }),
-            ok({ records: [record("b")], nextOffset: 4 }),
+            ok({ records: [keyedRecord("a")], nextOffset: 3 }),
+            ok({ records: [keyedRecord("b")], nextOffset: 4 }),
         ]);
         await harness.advance(2_000);
         expect(harness.calls).toEqual(["newest", "read 3", "read 4"]);
@@ -142,7 +139,7 @@
         const harness = startFollower([
             ok({ records: [], nextOffset: 3 }),
             expired,
-            ok({ records: [record("a")], nextOffset: 9 }),
+            ok({ records: [keyedRecord("a")], nextOffset: 9 }),
         ]);
         await harness.advance(3_000);
         expect(harness.calls).toEqual(["newest", "read 3", "newest", "read 9"]);
@@ -190,7 +187,7 @@
     // Guards against the late configuration of incident inc1: a large record was never received completely, because each read was
     // aborted 0.4 s after a peer was known to be ahead.
     test("receives a large record while peers are constantly ahead", async () => {
-        const large: ScriptedResponse = { batch: { records: [record("a")], nextOffset: 4 }, transferMs: 1_200 };
+        const large: ScriptedResponse = { batch: { records: [keyedRecord("a")], nextOffset: 4 }, transferMs: 1_200 };
         const harness = startFollower([ok({ records: [], nextOffset: 3 }), large, large, large]);
         for (let step = 0; step < 14; step++) {
             await harness.advance(200);
@@ -218,7 +215,7 @@
 });
 
 describe("an instance that is not a reader of the stream", () => {
-    const listed: ScriptedResponse = ok({ records: [record("a")], nextOffset: 5 });
+    const listed: ScriptedResponse = ok({ records: [keyedRecord("a")], nextOffset: 5 });
     const role = () => readerRole.none;
 
     test("polls the store only while no other instance confirms the stream's end", async () => {
@@ -236,7 +233,7 @@
 
     // Guards against an instance that waits for records that no reader pushes, past the time by which they must be in force.
     test("polls the store when it lacks records that others have", async () => {
-        const harness = startFollower([listed, ok({ records: [record("b")], nextOffset: 6 })], 40, { role });
+        const harness = startFollower([listed, ok({ records: [keyedRecord("b")], nextOffset: 6 })], 40, { role });
         for (let step = 0; step < 8; step++) {
             await harness.advance(200);
             harness.follower.confirmEnd(6, harness.now());
@@ -247,7 +244,7 @@
     });
 
     test("polls the store soon after it learns of records that do not arrive", async () => {
-        const harness = startFollower([listed, ok({ records: [record("b")], nextOffset: 6 })], 40, { role });
+        const harness = startFollower([listed, ok({ records: [keyedRecord("b")], nextOffset: 6 })], 40, { role });
         await harness.advance(200);
         harness.follower.confirmEnd(5, harness.now());
         harness.follower.handlePeerAhead();
@@ -261,12 +258,12 @@
         "fetches missing records from another instance (which has them: %p)",
         async (hasCopy, calls) => {
             let fetches = 0;
-            const harness = startFollower([listed, ok({ records: [record("b")], nextOffset: 6 })], 40, {
+            const harness = startFollower([listed, ok({ records: [keyedRecord("b")], nextOffset: 6 })], 40, {
                 role,
                 async fetchMissing() {
                     fetches += 1;
                     if (hasCopy) {
-                        harness.follower.applyCopy({ records: [record("b")], nextOffset: 6 });
+                        harness.follower.applyCopy({ records: [keyedRecord("b")], nextOffset: 6 });
                     }
                 },
             });
@@ -284,10 +281,10 @@
     test("applies only records that directly follow its own", async () => {
         const harness = startFollower([listed], 40, { role });
         await harness.advance(100);
-        expect(harness.follower.applyFrom(6, { records: [record("c")], nextOffset: 7 })).toBe(false);
-        expect(harness.follower.applyFrom(3, { records: [record("c")], nextOffset: 7 })).toBe(false);
-        expect(harness.follower.applyFrom(5, { records: [record("b")], nextOffset: 6 })).toBe(true);
-        expect(harness.follower.applyCopy({ records: [record("z")], nextOffset: 6 })).toBe(false);
+        expect(harness.follower.applyFrom(6, { records: [keyedRecord("c")], nextOffset: 7 })).toBe(false);
+        expect(harness.follower.applyFrom(3, { records: [keyedRecord("c")], nextOffset: 7 })).toBe(false);
+        expect(harness.follower.applyFrom(5, { records: [keyedRecord("b")], nextOffset: 6 })).toBe(true);
+        expect(harness.follower.applyCopy({ records: [keyedRecord("z")], nextOffset: 6 })).toBe(false);
         expect(harness.applied).toEqual([{ keys: ["a"], isSnapshot: true }, { keys: ["b"], isSnapshot: false }]);
         await harness.stop();
     });
@@ -298,13 +295,13 @@
     test("discards its own read when another reader's records arrived first", async () => {
         const pushed: [number, number][] = [];
         const harness = startFollower(
-            [ok({ records: [record("a")], nextOffset: 5 }), "silent"],
+            [ok({ records: [keyedRecord("a")], nextOffset: 5 }), "silent"],
             40,
             { role: () => readerRole.first, pushed },
         );
         await harness.advance(1_000);
         expect(harness.calls).toEqual(["newest", "read 5"]);
-        harness.follower.applyFrom(5, { records: [record("b")], nextOffset: 6 });
+        harness.follower.applyFrom(5, { records: [keyedRecord("b")], nextOffset: 6 });
         harness.follower.handlePeerAhead();
         await harness.advance(2_000);
         expect(harness.calls.at(-1)).toBe("read 6");
@@ -320,8 +317,8 @@
             pushed,
         });
         await harness.advance(1_000);
-        harness.follower.applyFrom(5, { records: [record("b")], nextOffset: 6 });
-        harness.respond(ok({ records: [record("b"), record("c")], nextOffset: 7 }));
+        harness.follower.applyFrom(5, { records: [keyedRecord("b")], nextOffset: 6 });
+        harness.respond(ok({ records: [keyedRecord("b"), keyedRecord("c")], nextOffset: 7 }));
         await harness.advance(50);
         expect(harness.applied.at(-1)).toEqual({ keys: ["c"], isSnapshot: false });
         expect(harness.follower.nextOffset).toBe(7);
@@ -338,8 +335,8 @@
         await harness.advance(500);
         const confirmedAt = harness.follower.endConfirmedAt;
         await harness.advance(500);
-        harness.follower.applyFrom(5, { records: [record("b")], nextOffset: 6 });
-        harness.respond(ok({ records: [record("b"), record("c")], nextOffset: 8 }));
+        harness.follower.applyFrom(5, { records: [keyedRecord("b")], nextOffset: 6 });
+        harness.respond(ok({ records: [keyedRecord("b"), keyedRecord("c")], nextOffset: 8 }));
         await harness.advance(50);
         expect(harness.follower.nextOffset).toBe(6);
         expect(harness.follower.endConfirmedAt).toBe(confirmedAt);
@@ -354,8 +351,8 @@
         });
         await harness.advance(1_500);
         expect(harness.follower.isFailing).toBe(true);
-        harness.follower.applyFrom(5, { records: [record("b")], nextOffset: 6 });
-        harness.respond(ok({ records: [record("b")], nextOffset: 6 }));
+        harness.follower.applyFrom(5, { records: [keyedRecord("b")], nextOffset: 6 });
+        harness.respond(ok({ records: [keyedRecord("b")], nextOffset: 6 }));
         await harness.advance(50);
         expect(harness.follower.isFailing).toBe(false);
         expect(harness.regainedCount()).toBe(1);
@@ -367,7 +364,7 @@
     test("pushes the records that it read, and waits no longer than others rely on its confirmation", async () => {
         const pushed: [number, number][] = [];
         const harness = startFollower(
-            [ok({ records: [], nextOffset: 5 }), ok({ records: [record("b")], nextOffset: 6 })],
+            [ok({ records: [], nextOffset: 5 }), ok({ records: [keyedRecord("b")], nextOffset: 6 })],
             40,
             { role: () => readerRole.first, pushed },
         );
