--- a/test/soak/soak-fleet.ts
+++ b/test/soak/soak-fleet.ts
@@ -9,6 +9,7 @@
 import { freePort } from "../free-port";
 import { startStoreStandIn } from "../users-platform/store-stand-in";
 import type { StoreCopy, StoreStandIn } from "../users-platform/store-stand-in";
+import { describeThreads } from "./process-state";
 import { startSoakTarget } from "./soak-target";
 import type { SoakTarget, TargetListener } from "./soak-target";
 
@@ -56,10 +57,10 @@
     /** Registers a target with its start time in milliseconds. */
     register(target: Pick<SoakTarget, "id" | "port">, startedAt: number): void;
     /**
-     * Waits until a process that was signalled to stop exits, and restarts its gateway. Returns false when the process did
-     * not exit in time and had to be killed.
+     * Waits until a process that was signalled to stop exits, and restarts its gateway. Returns the state of the process when it
+     * did not exit in time and had to be killed, undefined otherwise.
      */
-    restart(index: number, stopping: ChildProcess): Promise<boolean>;
+    restart(index: number, stopping: ChildProcess): Promise<string | undefined>;
     close(): Promise<void>;
 }
 
@@ -218,15 +219,20 @@
         register,
         async restart(index, stopping) {
             const gateway = gateways[index]!;
-            const killTimer = setTimeout(() => stopping.kill("SIGKILL"), exitTimeoutMs);
             const startedAt = performance.now();
+            let stateAtKill: string | undefined;
+            const killTimer = setTimeout(() => {
+                const afterMs = Math.round(performance.now() - startedAt);
+                stateAtKill = `killed after ${afterMs} ms; threads: ${describeThreads(stopping.pid!)}`;
+                stopping.kill("SIGKILL");
+            }, exitTimeoutMs);
             await waitForExit(stopping);
             clearTimeout(killTimer);
             // Overlapping faults may each request a restart of the same process.
             if (gateway.process === stopping && !closed) {
                 gateway.process = start(gateway.host, index);
             }
-            return performance.now() - startedAt < exitTimeoutMs;
+            return stateAtKill;
         },
         async close() {
             closed = true;
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -86,8 +86,9 @@
         const { host, process: child } = fleet.gateways[index]!;
         child.kill("SIGTERM");
         void fleet.restart(index, child).then(() => run.notices.disrupted(host));
-        if (!await fleet.restart(index, child)) {
-            run.violations.push(`${fleet.gateways[index]!.host} did not exit after a planned stop`);
+        const stateAtKill = await fleet.restart(index, child);
+        if (stateAtKill !== undefined) {
+            run.violations.push(`${host} did not exit after a planned stop: ${stateAtKill}`);
         }
     },
     async pause(fleet, pick, run) {
@@ -343,13 +344,23 @@
         const { process: child } = fleet.gateways[0]!;
         child.kill("SIGTERM");
         child.kill("SIGKILL");
-        expect(await fleet.restart(0, child)).toBe(true);
+        expect(await fleet.restart(0, child)).toBeUndefined();
         const { process: restarted } = fleet.gateways[0]!;
         expect(restarted).not.toBe(child);
-        expect(await fleet.restart(0, child)).toBe(true);
+        expect(await fleet.restart(0, child)).toBeUndefined();
         expect(fleet.gateways[0]!.process).toBe(restarted);
     });
 
+    // Guards against a planned stop that does not end and goes unnoticed, or whose cause cannot be told afterwards.
+    test("kills a gateway that does not exit, and reports the state of its threads", async () => {
+        const ignore = () => undefined;
+        const fleet = await startTestFleet(sizes, { ran: ignore, arrived: ignore, throttled: ignore });
+        const { process: child } = fleet.gateways[0]!;
+        child.kill("SIGSTOP");
+        expect(await fleet.restart(0, child)).toMatch(/^killed after \d+ ms; threads: \S+ T /);
+        expect(fleet.gateways[0]!.process).not.toBe(child);
+    });
+
     test.each([1, ...regressionSeeds, ...extraSeeds])(
         "keeps its guarantees with seed %d",
         async seed => {
