--- a/packages/gateway/src/store-streams.ts
+++ b/packages/gateway/src/store-streams.ts
@@ -243,9 +243,14 @@
             }
             // An evacuation raises the offset and not the version.
             const isPeerAhead = storeEra === era.current && configurationOffset > configurationFollower.nextOffset;
-            if (isPeerAhead || peer.configurationVersion > configuration.version()) {
+            const hasNewerVersion = peer.configurationVersion > configuration.version();
+            if (isPeerAhead || hasNewerVersion) {
                 catchUp(stream.configuration, configurationFollower, peer);
             }
+            if (hasNewerVersion && !isPeerAhead) {
+                // A store that was restored from a copy has lost this version, so that no read delivers it.
+                copies.fetch(stream.configuration, peer);
+            }
             if (peer.storeEra === era.current && peer.targetsOffset > targetsFollower.nextOffset) {
                 catchUp(stream.targets, targetsFollower, peer);
             }
--- a/test/gateway/store-streams.test.ts
+++ b/test/gateway/store-streams.test.ts
@@ -153,7 +153,9 @@
         configurationReads: () => targetsStore.configurationReads(),
         streams,
         targetsStore,
+        peers,
         peerEra,
+        deliverDigests,
         serving: () => directory.serving("dossier").map(({ id }) => id),
         /** Makes the store reject the calls of this instance only, or be unavailable to all instances. */
         setStoreState(change: Partial<typeof state>) {
@@ -330,4 +332,28 @@
         expect(handled).toContain(stream.targets);
         await instance.stop();
     });
+
+    /** Delivers digests of peers of which one has a newer configuration; returns the streams that are fetched from it at once. */
+    async function fetchedAtOnce(configurationOffset: number): Promise<string[]> {
+        const instance = await startInEra(2);
+        const fetched: string[] = [];
+        instance.streams.copies.fetch = name => void fetched.push(name);
+        instance.peers[0]!.configurationVersion = 3;
+        instance.deliverDigests(configurationOffset);
+        const fetchedNow = [...fetched];
+        instance.peers[0]!.configurationVersion = 0;
+        await instance.stop();
+        return fetchedNow;
+    }
+
+    // Guards against a revoked key that an instance accepts for seconds after its start: the store had lost the configuration that
+    // revoked it, and the instance waited for a record that no read delivers.
+    test("fetch a configuration at once that only another instance has", async () => {
+        expect(await fetchedAtOnce(0)).toEqual([stream.configuration]);
+    });
+
+    // Guards against a copy to each instance of a configuration that their reader is about to push.
+    test("wait for a configuration that the store has", async () => {
+        expect(await fetchedAtOnce(1)).toEqual([]);
+    });
 });
