--- a/packages/gateway/src/limit-decisions.ts
+++ b/packages/gateway/src/limit-decisions.ts
@@ -2,7 +2,7 @@
  * Decisions on requests against organisations' limits, by this instance or by the one that owns the limit.
  */
 
-import { createTokenClient, createTokenOwner, rankOwners, startedTogether } from "@trefoilladder/limits";
+import { createTokenClient, createTokenOwner, rankOwners, startDelayMs, startedTogether } from "@trefoilladder/limits";
 import type { LimitGroup, OwnerCandidate, TokenDecision, TokenOwner, TokenResponse } from "@trefoilladder/limits";
 import type { Mesh } from "@trefoilladder/mesh";
 import type { DecisionLog } from "@trefoilladder/telemetry";
@@ -122,8 +122,9 @@
             }),
         updateContact(share) {
             detectSuspension();
-            const isSimultaneous = startedTogether(runningSince(), candidates());
-            owner.updateContact(share, isSimultaneous);
+            const known = candidates();
+            const isSimultaneous = startedTogether(runningSince(), known);
+            owner.updateContact(share, isSimultaneous, startDelayMs(runningSince(), known));
             if (!isStarted && owner.startsInMs() === 0) {
                 isStarted = true;
                 log.lifecycle("limits_started", {
--- a/packages/limits/src/index.ts
+++ b/packages/limits/src/index.ts
@@ -2,7 +2,7 @@
 export type { ColdShareOptions, ColdShares } from "./cold-shares";
 export { createLimitGroup } from "./limit-group";
 export type { LimitGroup, NamedTotal } from "./limit-group";
-export { rankOwners, startedTogether } from "./limit-ownership";
+export { rankOwners, startDelayMs, startedTogether } from "./limit-ownership";
 export type { OwnerCandidate } from "./limit-ownership";
 export { hashText, mixBits } from "./rendezvous-hash";
 export { createSharedLimit } from "./shared-limit";
--- a/packages/limits/src/limit-ownership.ts
+++ b/packages/limits/src/limit-ownership.ts
@@ -20,6 +20,11 @@
 /** Difference in age in milliseconds up to which instances count as started together. */
 const simultaneousStartMs = 2_000;
 
+/** Returns for how many milliseconds the oldest of the candidates ran before an instance started. */
+export function startDelayMs(runningSince: number, candidates: readonly OwnerCandidate[]): number {
+    return Math.max(0, runningSince - Math.min(...candidates.map(candidate => candidate.runningSince)));
+}
+
 /** Returns the latest time in milliseconds at which an instance started together with the oldest of the candidates. */
 function simultaneousUntil(candidates: readonly OwnerCandidate[]): number {
     return Math.min(...candidates.map(({ runningSince }) => runningSince)) + simultaneousStartMs;
--- a/packages/limits/src/shared-limit.ts
+++ b/packages/limits/src/shared-limit.ts
@@ -27,8 +27,12 @@
 
 /** Limit of one organisation. */
 export interface SharedLimit {
-    /** Takes a token and returns 0, or returns the milliseconds until a token is expected. */
-    take(now: number): number;
+    /**
+     * Returns the milliseconds until a token is expected, 0 when there is one, and takes it when that is at most
+     * `maxDelayMs`.
+     * @param maxDelayMs 0 by default
+     */
+    take(now: number, maxDelayMs?: number): number;
     /** Puts tokens back: that of a request that was not executed, or those that a request earns. */
     refund(now: number, tokens?: number): void;
     /** Returns the number of tokens left in this instance's copy of the bucket. */
@@ -55,6 +59,11 @@
      * instances have reported what they admitted of them.
      */
     recordPause(pausedMs: number, now: number): void;
+    /**
+     * Longest time in milliseconds for which requests may wait for tokens: that in which the rate earns the part of the burst
+     * which the last restart did not give.
+     */
+    readonly maxReservationMs: number;
     /** Running total of the tokens that this instance has taken, less those that it has put back. */
     readonly admitted: number;
     readonly ratePerSecond: number;
@@ -96,6 +105,8 @@
     let updatedAt = limit.now;
     let admitted = 0;
     let rejected = 0;
+    /** Part of the burst that the last restart did not give. */
+    let missingBurst = 0;
     /** Tokens refilled during a pause that may have been admitted by other instances, and when all of these have reported. */
     let withheld = 0;
     let withheldUntil = -Infinity;
@@ -125,15 +136,16 @@
 
     return {
         level: currentLevel,
-        take(now) {
-            const available = currentLevel(now);
-            if (available < 1) {
+        take(now, maxDelayMs = 0) {
+            const missing = Math.max(0, 1 - currentLevel(now));
+            const delayMs = missing * 1_000 / (ratePerSecond * contactShare);
+            if (delayMs > maxDelayMs) {
                 rejected += 1;
-                return (1 - available) * 1_000 / (ratePerSecond * contactShare);
+                return delayMs;
             }
             level -= 1;
             admitted += 1;
-            return 0;
+            return delayMs;
         },
         refund(now, tokens = 1) {
             refill(now);
@@ -153,6 +165,7 @@
         restart(now, earnedMs) {
             refill(now);
             level = Math.min(burst * contactShare, earnedMs * ratePerSecond * contactShare / 1_000);
+            missingBurst = Math.max(0, burst * contactShare - level);
             withheld = 0;
             peers.clear();
         },
@@ -177,6 +190,9 @@
             withheldUntil = now + reportsDueMs;
             updatedAt = now;
         },
+        get maxReservationMs() {
+            return missingBurst * 1_000 / (ratePerSecond * contactShare);
+        },
         get admitted() {
             return admitted;
         },
--- a/packages/limits/src/token-client.ts
+++ b/packages/limits/src/token-client.ts
@@ -8,6 +8,7 @@
 
 import type { LimitGroup } from "./limit-group";
 import type { TokenDecision, TokenRequest, TokenResponse } from "./token-decision";
+import { reservationMs } from "./token-owner";
 import type { TokenOwner } from "./token-owner";
 
 /** Receives a decision and the address of the instance that made it. */
@@ -15,7 +16,7 @@
 
 /** Decides on requests of this instance, by itself for the limits that it owns. */
 export interface TokenClient {
-    /** Calls `decided` with the decision, at the latest after `maxWaitMs`. */
+    /** Calls `decided` with the decision, at the latest after `maxWaitMs`. A granted token is there by then. */
     take(name: string, maxWaitMs: number, decided: DecisionListener): void;
     receive(from: string, response: TokenResponse): void;
 }
@@ -42,6 +43,9 @@
 
 /** Interval of the checks of requests without a response, in milliseconds. */
 const checkIntervalMs = 20;
+/** Shortest and longest time in milliseconds after which an instance that has just started is asked again. */
+const minResumeMs = 40;
+const maxResumeMs = 160;
 /** Time in milliseconds after which a request is repeated, since datagrams may be lost. */
 const repeatAfterMs = 40;
 /** Time in milliseconds after which the next instance is asked. */
@@ -58,6 +62,10 @@
 const lateResponseMs = 1_000;
 /** Longest time in milliseconds for which a rejection answers further requests without asking. */
 const maxReusedRejectionMs = 100;
+/** Share of a request's remaining time for which it waits for its token; the rest is needed to serve it. */
+const delayShare = 0.5;
+/** Maximum number of requests that wait for tokens that are not there yet. */
+const maxDelayed = 256;
 
 interface PendingRequest {
     id: string;
@@ -67,9 +75,13 @@
     /** Addresses that were asked, the current one last; empty while the instance waits for its own start. */
     asked: string[];
     sentAt: number;
+    /** Longest time in milliseconds for which it may wait for its token, as the owner was told. */
+    maxDelayMs: number;
     isRepeated: boolean;
     /** Time at which an instance that had just started is asked again. */
     resumesAt: number;
+    /** Time in milliseconds after which such an instance is asked again the next time. */
+    resumeMs: number;
 }
 
 /** Part of a limit that this instance may admit without an owner. */
@@ -78,17 +90,29 @@
     updatedAt: number;
 }
 
+/** Last rejection of a limit, which answers further requests for a moment. */
+interface Rejection {
+    until: number;
+    /** Time at which the owner expects a token that a request may wait for; Infinity when it lets none wait. */
+    reservableAt: number;
+    retryAt: number;
+    decidedBy: string;
+}
+
 /** Creates a client without pending requests. */
 export function createTokenClient(options: TokenClientOptions): TokenClient {
     const { self, group, owner, now } = options;
+    const startedAt = now();
     const pending = new Map<string, PendingRequest>();
     const unresponsiveUntil = new Map<string, number>();
-    const rejections = new Map<string, { until: number; retryAt: number; decidedBy: string; }>();
+    const rejections = new Map<string, Rejection>();
     /** Times until which tokens can be used that were granted too late, by name of the limit. */
     const lateTokens = new Map<string, number[]>();
     /** Requests that an instance has not answered in time, by `unansweredKey`, until when its response counts. */
     const unanswered = new Map<string, number>();
     const ownParts = new Map<string, OwnPart>();
+    /** Number of requests that wait for tokens that are not there yet. */
+    let delayed = 0;
     let lastId = 0;
     let isCheckScheduled = false;
 
@@ -124,10 +148,20 @@
         }
         else if (waitedMs >= repeatAfterMs && !request.isRepeated) {
             request.isRepeated = true;
-            options.send(address, { id: request.id, name: request.name });
+            send(request, address);
         }
     }
 
+    function send({ id, name, maxDelayMs }: PendingRequest, address: string): void {
+        options.send(address, maxDelayMs > 0 ? { id, name, maxDelayMs } : { id, name });
+    }
+
+    /** Returns for how many milliseconds a request that ends at a time may wait for its token. */
+    function maxDelayOf(endsAt: number): number {
+        const allowedMs = delayed < maxDelayed ? reservationMs(now() - startedAt) : 0;
+        return Math.max(0, Math.floor(Math.min(allowedMs, (endsAt - now()) * delayShare)));
+    }
+
     /** Continues a request that waited for the start of this instance or of the owner. */
     function resume(request: PendingRequest): void {
         if (now() >= request.resumesAt && owner.startsInMs() === 0) {
@@ -173,13 +207,28 @@
             return;
         }
         request.asked.push(address);
+        request.maxDelayMs = maxDelayOf(request.endsAt);
         if (address === self()) {
-            finish(request, owner.decide(request.name), self());
+            applyDecision(request, owner.decide(request.name, request.maxDelayMs), address);
             return;
         }
         request.sentAt = now();
         request.isRepeated = false;
-        options.send(address, { id: request.id, name: request.name });
+        send(request, address);
+    }
+
+    /** Ends a request with an owner's decision, or continues it when that owner cannot decide. */
+    function applyDecision(request: PendingRequest, decision: TokenDecision, decidedBy: string): void {
+        if (decision.kind === "unknown") {
+            ask(request);
+        }
+        else if (decision.kind === "starting") {
+            request.resumesAt = now() + Math.min(request.resumeMs, decision.remainingMs);
+            request.resumeMs = Math.min(maxResumeMs, request.resumeMs * 2);
+        }
+        else {
+            finish(request, decision, decidedBy);
+        }
     }
 
     function finish(request: PendingRequest, decision: TokenDecision, decidedBy: string): void {
@@ -187,13 +236,27 @@
         if (decision.kind === "rejected") {
             rejections.set(request.name, {
                 until: now() + Math.min(maxReusedRejectionMs, decision.nextTokenMs),
+                reservableAt: decision.nextTokenMs > request.maxDelayMs ? now() + decision.nextTokenMs : Infinity,
                 retryAt: now() + decision.retryAfterMs,
                 decidedBy,
             });
         }
+        if (decision.kind === "granted" && decision.delayMs !== undefined) {
+            delayed += 1;
+            options.schedule(() => {
+                delayed -= 1;
+                request.decided({ kind: "granted" }, decidedBy);
+            }, decision.delayMs);
+            return;
+        }
         request.decided(decision, decidedBy);
     }
 
+    /** Returns whether a rejection answers a request that ends at a time: it cannot wait for the next token. */
+    function isReusable(rejection: Rejection, endsAt: number): boolean {
+        return now() < rejection.until && now() + maxDelayOf(endsAt) < rejection.reservableAt;
+    }
+
     /**
      * Takes a token from this instance's equal part of the limit. The part is earned from the first request without an owner
      * on, since the owner may have granted the burst.
@@ -242,7 +305,7 @@
                 decided({ kind: "granted" }, self());
                 return;
             }
-            if (rejection !== undefined && now() < rejection.until) {
+            if (rejection !== undefined && isReusable(rejection, now() + maxWaitMs)) {
                 const nextTokenMs = rejection.until - now();
                 const retryAfterMs = Math.max(nextTokenMs, rejection.retryAt - now());
                 decided({ kind: "rejected", nextTokenMs, retryAfterMs }, rejection.decidedBy);
@@ -255,8 +318,10 @@
                 endsAt: now() + maxWaitMs,
                 asked: [],
                 sentAt: now(),
+                maxDelayMs: 0,
                 isRepeated: false,
                 resumesAt: 0,
+                resumeMs: minResumeMs,
             };
             pending.set(request.id, request);
             if (owner.startsInMs() === 0) {
@@ -268,20 +333,12 @@
             const { decision } = response;
             const request = pending.get(response.id);
             if (request === undefined) {
-                if (decision.kind === "granted") {
+                if (decision.kind === "granted" && decision.delayMs === undefined) {
                     keepLateToken(from, response);
                 }
                 return;
             }
-            if (decision.kind === "unknown") {
-                ask(request);
-            }
-            else if (decision.kind === "starting") {
-                request.resumesAt = now() + Math.min(checkIntervalMs * 2, decision.remainingMs);
-            }
-            else {
-                finish(request, decision, from);
-            }
+            applyDecision(request, decision, from);
             unresponsiveUntil.delete(from);
         },
     };
--- a/packages/limits/src/token-decision.ts
+++ b/packages/limits/src/token-decision.ts
@@ -1,6 +1,7 @@
 /** Decision on a request against an organisation's limit. */
 export type TokenDecision =
-    | { kind: "granted"; }
+    /** The token is there after `delayMs` milliseconds, at once when absent; the request must not go on before. */
+    | { kind: "granted"; delayMs?: number; }
     /** The bucket is empty. */
     | { kind: "rejected"; retryAfterMs: number; nextTokenMs: number; }
     /** The instance cannot decide yet, since it has just started. */
@@ -14,9 +15,14 @@
     id: string;
     /** Name of the limit. */
     name: string;
+    /**
+     * Longest time in milliseconds for which the request may wait for a token that is not there yet.
+     * @default 0
+     */
+    maxDelayMs?: number;
 }
 
 /** Response of the owner. */
-export interface TokenResponse extends TokenRequest {
+export interface TokenResponse extends Pick<TokenRequest, "id" | "name"> {
     decision: TokenDecision;
 }
--- a/packages/limits/src/token-owner.ts
+++ b/packages/limits/src/token-owner.ts
@@ -3,18 +3,22 @@
  */
 
 import type { LimitGroup } from "./limit-group";
+import type { SharedLimit } from "./shared-limit";
 import type { TokenDecision, TokenRequest, TokenResponse } from "./token-decision";
 
 /** Decides on requests against this instance's copies of the limits. */
 export interface TokenOwner {
-    decide(name: string): TokenDecision;
+    /** Decides on a request that may wait for its token for `maxDelayMs` milliseconds, 0 by default. */
+    decide(name: string, maxDelayMs?: number): TokenDecision;
     /** Decides on another instance's request; a repeated one gets the decision of the first. */
     answer(request: TokenRequest): TokenResponse;
     /**
      * Records the share of known instances in contact, and whether this instance started together with the others. Decisions
-     * begin once most instances are in contact, or after a time without them.
+     * begin once the limits are known and most instances are in contact, or after a time without them. In the time
+     * `startDelayMs` for which the oldest instance ran before this one started, others may have decided.
+     * @param startDelayMs 0 by default
      */
-    updateContact(share: number, startedTogether: boolean): void;
+    updateContact(share: number, startedTogether: boolean, startDelayMs?: number): void;
     /** Returns the time in milliseconds until decisions begin at the latest; 0 once they have begun. */
     startsInMs(): number;
 }
@@ -22,8 +26,17 @@
 /** Age in milliseconds from which decisions begin when most known instances are in contact. */
 const minStartMs = 300;
 const minStartShare = 0.9;
-/** Age in milliseconds at which decisions begin in any case. */
+/** Age in milliseconds at which decisions begin without most known instances. */
 const maxStartMs = 1_500;
+/** Age in milliseconds at which an instance without any limit answers that it knows none, so that others decide. */
+const maxUnconfiguredMs = 2_500;
+/** Age in milliseconds by which requests no longer wait for tokens: buckets that begin empty have caught up by then. */
+const reservationPhaseMs = 5_000;
+/**
+ * Longest time in milliseconds for which a request waits for its token. Counted by arrival, an organisation gets the tokens of
+ * this time beyond a window's; with 800 ms they are covered by the outage before the start and the 10% that users accept.
+ */
+const maxReservationMs = 800;
 /** Longest time in milliseconds that a caller is asked to wait. */
 const maxRetryAfterMs = 5_000;
 /** Time in milliseconds for which decisions are kept for repetitions of a request. */
@@ -31,6 +44,11 @@
 /** Maximum number of decisions that are kept; the oldest are evicted first. */
 const maxKeptDecisions = 4_096;
 
+/** Returns for how many milliseconds a request may wait for its token at an instance of an age. */
+export function reservationMs(ageMs: number): number {
+    return Math.max(0, Math.min(maxReservationMs, reservationPhaseMs - ageMs));
+}
+
 interface KeptDecision {
     decision: TokenDecision;
     until: number;
@@ -53,8 +71,23 @@
         return contactShare < minStartShare && now() - startedAt < maxStartMs;
     }
 
+    function hasLimits(): boolean {
+        return group.all().next().done !== true;
+    }
+
+    /** Returns the time in milliseconds until decisions begin at the latest. */
+    function remainingStartMs(): number {
+        return Math.max(0, startedAt + (hasLimits() ? maxStartMs : maxUnconfiguredMs) - now());
+    }
+
     function startingDecision(): TokenDecision {
-        return { kind: "starting", remainingMs: Math.max(0, startedAt + maxStartMs - now()) };
+        return { kind: "starting", remainingMs: remainingStartMs() };
+    }
+
+    /** Returns for how many milliseconds a request may wait for a token of a limit. */
+    function allowedDelayMs(limit: SharedLimit, maxDelayMs: number): number {
+        const allowedMs = Math.min(limit.maxReservationMs, reservationMs(now() - startedAt));
+        return isDiscovering() ? 0 : Math.min(maxDelayMs, allowedMs);
     }
 
     /** Spreads rejected callers over the tokens to come, so that they do not return together. */
@@ -66,20 +99,21 @@
         return at - now();
     }
 
-    function decide(name: string): TokenDecision {
+    function decide(name: string, maxDelayMs = 0): TokenDecision {
         const limit = group.get(name);
-        if (limit === undefined) {
+        if (limit === undefined && (isStarted || hasLimits())) {
             return { kind: "unknown" };
         }
-        if (!isStarted) {
+        if (limit === undefined || !isStarted) {
             return startingDecision();
         }
-        const nextTokenMs = limit.take(now());
-        if (nextTokenMs > 0 && isDiscovering()) {
-            return startingDecision();
+        const allowedMs = allowedDelayMs(limit, maxDelayMs);
+        const nextTokenMs = limit.take(now(), allowedMs);
+        if (nextTokenMs <= allowedMs) {
+            return nextTokenMs > 0 ? { kind: "granted", delayMs: nextTokenMs } : { kind: "granted" };
         }
-        return nextTokenMs <= 0
-            ? { kind: "granted" }
+        return isDiscovering()
+            ? startingDecision()
             : {
                 kind: "rejected",
                 nextTokenMs,
@@ -98,30 +132,31 @@
 
     return {
         decide,
-        answer({ id, name }) {
+        answer({ id, name, maxDelayMs }) {
             forgetOldDecisions();
             let decision = kept.get(id)?.decision;
             if (decision === undefined) {
-                decision = decide(name);
+                decision = decide(name, maxDelayMs);
                 if (decision.kind !== "starting") {
                     kept.set(id, { decision, until: now() + repetitionMs });
                 }
             }
             return { id, name, decision };
         },
-        updateContact(share, startedTogether) {
+        updateContact(share, startedTogether, startDelayMs = 0) {
             const ageMs = now() - startedAt;
             contactShare = share;
-            if (isStarted || ageMs < minStartMs || share < minStartShare && ageMs < maxStartMs) {
+            if (isStarted || ageMs < minStartMs || remainingStartMs() > 0 && (share < minStartShare || !hasLimits())) {
                 return;
             }
             isStarted = true;
-            // Nobody has admitted anything since this instance started, if all started with it.
-            const earnedMs = startedTogether ? ageMs : 0;
+            // Nobody has admitted anything since this instance started, if all started with it. Those that started earlier
+            // decide earlier, each for the limits that it takes for its own.
+            const earnedMs = startedTogether ? Math.max(0, ageMs - startDelayMs) : 0;
             for (const [, limit] of group.all()) {
                 limit.restart(now(), earnedMs);
             }
         },
-        startsInMs: () => isStarted ? 0 : Math.max(0, startedAt + maxStartMs - now()),
+        startsInMs: () => isStarted ? 0 : remainingStartMs(),
     };
 }
--- a/packages/mesh/src/token-message.ts
+++ b/packages/mesh/src/token-message.ts
@@ -22,24 +22,33 @@
 }
 
 /** Encodes a request. */
-export function encodeTokenRequest({ id, name }: TokenRequest): Buffer {
-    return Buffer.from(JSON.stringify([requestFormat, id, name]));
+export function encodeTokenRequest({ id, name, maxDelayMs }: TokenRequest): Buffer {
+    return Buffer.from(JSON.stringify([requestFormat, id, name, ...maxDelayMs === undefined ? [] : [maxDelayMs]]));
+}
+
+function timesOf(decision: TokenDecision): number[] {
+    switch (decision.kind) {
+        case "granted":
+            return decision.delayMs === undefined ? [] : [decision.delayMs];
+        case "rejected":
+            return [decision.retryAfterMs, decision.nextTokenMs];
+        case "starting":
+            return [decision.remainingMs];
+        default:
+            return [];
+    }
 }
 
 /** Encodes a response. */
 export function encodeTokenResponse({ id, name, decision }: TokenResponse): Buffer {
     const { kind } = decision;
-    const times = kind === "rejected"
-        ? [decision.retryAfterMs, decision.nextTokenMs]
-        : kind === "starting"
-        ? [decision.remainingMs]
-        : [];
+    const times = timesOf(decision);
     return Buffer.from(JSON.stringify([responseFormat, id, name, kind, ...times.map(ms => Math.ceil(ms))]));
 }
 
 /** Creates a decision from the times of a response; undefined when a time is missing. */
 const decisionReaders: Record<TokenDecision["kind"], (times: number[]) => TokenDecision | undefined> = {
-    granted: () => ({ kind: "granted" }),
+    granted: ([delayMs]) => delayMs === undefined ? { kind: "granted" } : { kind: "granted", delayMs },
     unknown: () => ({ kind: "unknown" }),
     starting: ([remainingMs]) => remainingMs === undefined ? undefined : { kind: "starting", remainingMs },
     rejected: ([retryAfterMs, nextTokenMs]) =>
@@ -71,7 +80,9 @@
         return undefined;
     }
     if (format === requestFormat) {
-        return { kind: "request", request: { id, name } };
+        const request = { id, name };
+        const isDelay = typeof kind === "number" && kind >= 0;
+        return { kind: "request", request: isDelay ? { ...request, maxDelayMs: kind } : request };
     }
     const decision = format === responseFormat ? readDecision(kind, times) : undefined;
     return decision === undefined ? undefined : { kind: "response", response: { id, name, decision } };
--- a/test/limits/fleet-simulation.ts
+++ b/test/limits/fleet-simulation.ts
@@ -8,6 +8,7 @@
     createTokenClient,
     createTokenOwner,
     rankOwners,
+    startDelayMs,
     startedTogether,
 } from "@trefoilladder/limits";
 import type { ColdShares, OwnerCandidate, TokenClient, TokenOwner } from "@trefoilladder/limits";
@@ -43,8 +44,23 @@
     seed: number;
     instances: number;
     plan: Plan;
-    /** Requests per second of the organisation over all instances. */
+    /**
+     * Organisations among which the demand is divided in proportion to their rates.
+     * @default one with `plan`
+     */
+    organisations?: readonly Plan[];
+    /** Requests per second of all organisations over all instances. */
     demandPerSecond(nowMs: number): number;
+    /**
+     * Shortest and longest time in milliseconds from the arrival of a request to its deadline.
+     * @default each request waits for a decision for 2 s
+     */
+    deadlinesMs?: readonly [shortest: number, longest: number];
+    /**
+     * Returns the time in milliseconds after its start at which an instance has its configuration; requests wait for it.
+     * @default 0 for all instances
+     */
+    configurationDelayMs?(instance: number): number;
     /** Whether some instances receive many times as many requests as others. */
     isUneven?: boolean;
     /** Whether all instances receive their requests at the same moments. */
@@ -65,8 +81,22 @@
     fromMs: number;
 }
 
+/** A request for which a token was asked. */
+export interface RequestOutcome {
+    /** Position among the organisations. */
+    organisation: number;
+    /** Times in milliseconds. */
+    arrivedAt: number;
+    decidedAt: number;
+    deadlineAt: number;
+    isAdmitted: boolean;
+}
+
 /** Times in milliseconds of the requests of the organisation. */
 export interface FleetRun {
+    requests: RequestOutcome[];
+    /** Number of requests for tokens and of responses that instances sent to each other. */
+    tokenMessages: number;
     admitted: number[];
     /** Requests at instances that had nothing else to reject them for. */
     rejected: number[];
@@ -74,7 +104,13 @@
     sentToCold: Map<string, number[]>;
 }
 
+interface ArrivedRequest {
+    organisation: number;
+    arrivedAt: number;
+}
+
 interface Process {
+    isConfigured: boolean;
     limits: RateLimits;
     group: ReturnType<typeof createLimitGroup>;
     owner: TokenOwner;
@@ -97,7 +133,7 @@
     side: string;
     sideUntil: number;
     /** Requests and digests that arrived during a pause. */
-    queuedRequests: number;
+    queuedRequests: ArrivedRequest[];
     queuedDigests: (() => void)[];
 }
 
@@ -128,9 +164,16 @@
 export function simulateFleet(scenario: FleetScenario): FleetRun {
     const random = createRandomSource(scenario.seed);
     const { plan, lossShare = 0 } = scenario;
-    const organisation = { name: organisationName, keys: [], priority: undefined, ...plan };
+    const { organisations: plans = [plan], configurationDelayMs = () => 0 } = scenario;
+    const organisations = plans.map((organisationPlan, index) => ({
+        name: index === 0 ? organisationName : `${organisationName}-${index}`,
+        keys: [],
+        priority: undefined,
+        ...organisationPlan,
+    }));
+    const totalRate = plans.reduce((sum, { ratePerSecond }) => sum + ratePerSecond, 0);
     let now = 0;
-    const run: FleetRun = { admitted: [], rejected: [], sentToCold: new Map() };
+    const run: FleetRun = { requests: [], tokenMessages: 0, admitted: [], rejected: [], sentToCold: new Map() };
     const deliveries = new Map<number, Delivery[]>();
     const instances = Array.from({ length: scenario.instances }, (_, index): Instance => ({
         index,
@@ -141,7 +184,7 @@
         pausedUntil: 0,
         side: "",
         sideUntil: 0,
-        queuedRequests: 0,
+        queuedRequests: [],
         queuedDigests: [],
     }));
     const byAddress = new Map(instances.map(instance => [instance.address, instance]));
@@ -153,7 +196,6 @@
         const limits = createRateLimits(group, () => now, { stateChange: () => undefined });
         const peers = createPeers(instance.address);
         instances.slice(0, seedCount).forEach(({ address }) => peers.discover(address, now));
-        limits.configure([organisation]);
         const startedAt = now;
         const incarnation = incarnations += 1;
         const owner = createTokenOwner({ group, now: () => now });
@@ -170,8 +212,10 @@
             fleetSize: () => Math.round((peers.inContact(now).length + 1) / peers.contactShare(now)),
             send(address, message) {
                 const asked = byAddress.get(address)!;
+                run.tokenMessages += 1;
                 deliver(instance, asked, directDelayMs, receiver => {
                     const response = receiver.owner.answer(message);
+                    run.tokenMessages += 1;
                     deliver(asked, instance, directDelayMs, () => instance.process?.client.receive(address, response));
                 });
             },
@@ -186,6 +230,7 @@
             contactShare: () => peers.contactShare(now),
         });
         instance.process = {
+            isConfigured: false,
             limits,
             group,
             owner,
@@ -301,20 +346,38 @@
         group.tick();
         group.setContactShare(peers.contactShare(now));
         const since = runningSince(process);
-        const isSimultaneous = startedTogether(since, candidates(instance.address, since, peers));
-        process.owner.updateContact(peers.contactShare(now), isSimultaneous);
+        const known = candidates(instance.address, since, peers);
+        const isSimultaneous = startedTogether(since, known);
+        process.owner.updateContact(peers.contactShare(now), isSimultaneous, startDelayMs(since, known));
     }
 
-    function request({ process }: Instance): void {
+    function request({ process }: Instance, { organisation: index, arrivedAt }: ArrivedRequest): void {
+        const organisation = organisations[index]!;
+        const deadlineAt = arrivedAt + drawDeadlineMs();
+        const decided = (isAdmitted: boolean) => {
+            (isAdmitted ? run.admitted : run.rejected).push(now);
+            run.requests.push({ organisation: index, arrivedAt, decidedAt: now, deadlineAt, isAdmitted });
+        };
         if (process!.limits.limitOf(organisation) === undefined) {
-            run.rejected.push(now);
+            decided(false);
             return;
         }
-        process!.client.take(organisation.name, maxDecisionMs, ({ kind }) => {
-            (kind === "granted" ? run.admitted : run.rejected).push(now);
+        process!.client.take(organisation.name, Math.min(maxDecisionMs, deadlineAt - now), ({ kind }) => {
+            decided(kind === "granted");
         });
     }
 
+    function drawDeadlineMs(): number {
+        const [shortest, longest] = scenario.deadlinesMs ?? [Infinity, Infinity];
+        return shortest === longest ? shortest : shortest + random.next() * (longest - shortest);
+    }
+
+    /** Returns the organisation of a request, at random by rate. */
+    function drawOrganisation(): number {
+        let rest = plans.length === 1 ? 0 : random.next() * totalRate;
+        return Math.max(0, plans.findIndex(({ ratePerSecond }) => (rest -= ratePerSecond) < 0));
+    }
+
     function sendToColdTargets({ coldShares }: Process, { ids, perSecond, fromMs }: ColdTargets): void {
         for (const id of now < fromMs ? [] : ids) {
             while (coldShares.mayTake(id, perSecond)) {
@@ -333,7 +396,7 @@
         separate: (instance, untilMs) => Object.assign(instance, { side: "separate", sideUntil: untilMs }),
         isolate: (instance, untilMs) => Object.assign(instance, { side: instance.address, sideUntil: untilMs }),
         withdraw: instance => instance.process?.limits.configure([]),
-        grant: instance => instance.process?.limits.configure([organisation]),
+        grant: instance => instance.process?.limits.configure(organisations),
     };
 
     function applyEvent({ kind, instances: indices, forMs = 0 }: FleetEvent): void {
@@ -363,19 +426,26 @@
             if (instance.process === undefined && now >= instance.startsAt) {
                 start(instance);
             }
-            instance.queuedRequests += arrivals(instance.weight);
+            const arrived = Array.from(
+                { length: arrivals(instance.weight) },
+                () => ({ organisation: drawOrganisation(), arrivedAt: now }),
+            );
+            instance.queuedRequests.push(...arrived);
             const { process } = instance;
             if (process === undefined) {
-                instance.queuedRequests = 0;
+                instance.queuedRequests = [];
                 continue;
             }
             if (now < instance.pausedUntil) {
                 continue;
             }
-            // Requests that arrived during a pause are handled before digests and timers.
-            for (; instance.queuedRequests > 0; instance.queuedRequests -= 1) {
-                request(instance);
+            if (!process.isConfigured && now - process.startedAt >= configurationDelayMs(instance.index)) {
+                process.isConfigured = true;
+                process.limits.configure(organisations);
             }
+            // Requests that arrived during a pause are handled before digests and timers.
+            const handled = process.isConfigured ? instance.queuedRequests.splice(0) : [];
+            handled.forEach(queued => request(instance, queued));
             if (scenario.coldTargets !== undefined) {
                 sendToColdTargets(process, scenario.coldTargets);
             }
--- a/test/limits/token-client.test.ts
+++ b/test/limits/token-client.test.ts
@@ -179,6 +179,33 @@
         expect(decisions).toEqual([granted]);
     });
 
+    // Guards against a request of the owner itself that is refused while it hears of instances that start with it.
+    test("waits when this instance is the owner and cannot decide yet", () => {
+        const { owner, group, take, advance } = createFixture({ owners: ["a"], ratePerSecond: 10, burst: 20 });
+        advance(310);
+        owner.updateContact(1, true);
+        group.setContactShare(0.1);
+        owner.updateContact(0.1, true);
+        const decisions = Array.from({ length: 8 }, take);
+        expect(decisions.flat()).toEqual([granted, granted]);
+        group.setContactShare(1);
+        owner.updateContact(1, true);
+        advance(1_000);
+        expect(decisions.flat()).toEqual(decisions.map(() => granted));
+    });
+
+    // Guards against waiting requests that ask again and again while the owner starts.
+    test("asks an owner that starts less and less often", () => {
+        const { client, sent, take, start, advance } = createFixture();
+        start();
+        take();
+        for (let elapsedMs = 0; elapsedMs < 1_000; elapsedMs += 20) {
+            client.receive("b", { ...sent.at(-1)!.request, decision: { kind: "starting", remainingMs: 400 } });
+            advance(20);
+        }
+        expect(sent.length).toBeLessThanOrEqual(10);
+    });
+
     test("asks the next instance when the owner does not know the limit", () => {
         const { client, sent, take, start } = createFixture();
         start();
@@ -194,3 +221,73 @@
         expect(decisions).toHaveLength(1);
     });
 });
+
+describe("a request shortly after the start of this instance", () => {
+    // Guards against a request that goes on before its token is there, which would exceed the plan.
+    test("goes on once its token is there", () => {
+        const { client, sent, take, start, advance } = createFixture();
+        start();
+        const decisions = take();
+        client.receive("b", { ...sent[0]!.request, decision: { kind: "granted", delayMs: 300 } });
+        advance(290);
+        expect(decisions).toEqual([]);
+        advance(20);
+        expect(decisions).toEqual([granted]);
+        expect(sent).toHaveLength(1);
+    });
+
+    test("waits for at most half of its time and 800 ms", () => {
+        const { client, sent, start } = createFixture();
+        start();
+        client.take(limitName, 500, () => undefined);
+        client.take(limitName, 2_000, () => undefined);
+        expect(sent.map(({ request }) => request.maxDelayMs)).toEqual([250, 800]);
+    });
+
+    // Guards against a wait, and longer messages, in ordinary operation.
+    test("does not wait for its token after some seconds", () => {
+        const { sent, take, start, advance } = createFixture();
+        start();
+        advance(4_100);
+        take();
+        expect(sent[0]!.request).not.toHaveProperty("maxDelayMs");
+    });
+
+    // Guards against a process that holds any number of requests.
+    test("does not wait for its token while many others wait", () => {
+        const { client, sent, take, start } = createFixture();
+        start();
+        Array.from({ length: 256 }, take);
+        sent.slice().forEach(({ request }) =>
+            client.receive("b", { ...request, decision: { kind: "granted", delayMs: 700 } })
+        );
+        take();
+        expect(sent.at(-1)!.request).not.toHaveProperty("maxDelayMs");
+    });
+
+    // Guards against a rejection of a request with little time that answers others, which can wait for the token.
+    test("is not answered by the rejection of one that could wait for less time", () => {
+        const { client, sent, take, start } = createFixture();
+        start();
+        const decisions: TokenDecision[] = [];
+        client.take(limitName, 100, decision => decisions.push(decision));
+        const decision: TokenDecision = { kind: "rejected", nextTokenMs: 200, retryAfterMs: 200 };
+        client.receive("b", { ...sent[0]!.request, decision });
+        expect(decisions).toEqual([decision]);
+        take();
+        expect(sent).toHaveLength(2);
+        client.take(limitName, 100, repeated => decisions.push(repeated));
+        expect(decisions).toHaveLength(2);
+    });
+
+    // Guards against a reserved token that another request uses before it is there.
+    test("does not use a reserved token that was granted too late to an earlier request", () => {
+        const { client, sent, take, start, advance } = createFixture();
+        start();
+        take();
+        const { request } = sent[0]!;
+        advance(300);
+        client.receive("b", { ...request, decision: { kind: "granted", delayMs: 400 } });
+        expect(take()).not.toContainEqual(granted);
+    });
+});
--- a/test/limits/token-owner.test.ts
+++ b/test/limits/token-owner.test.ts
@@ -3,16 +3,20 @@
 
 const limitName = "taipei";
 
-function createFixture({ ratePerSecond = 10, burst = 20 } = {}) {
+function createFixture({ ratePerSecond = 10, burst = 20, isConfigured = true } = {}) {
     let now = 0;
     const group = createLimitGroup({ now: () => now, minChange: 1 });
     const limit = createSharedLimit({ ratePerSecond, burst, now, contactShare: 1 });
-    group.add(limitName, limit);
+    const configure = () => group.add(limitName, limit);
+    if (isConfigured) {
+        configure();
+    }
     const owner = createTokenOwner({ group, now: () => now });
     return {
         owner,
         group,
         limit,
+        configure,
         advance: (ms: number) => now += ms,
         kinds: (count: number) => Array.from({ length: count }, () => owner.decide(limitName).kind),
     };
@@ -27,6 +31,14 @@
         expect(kinds(10).filter(kind => kind === "granted")).toHaveLength(5);
     });
 
+    // Guards against a burst from each of the owners that take a limit over from each other while instances start one after the other.
+    test("starts with less when others started a little earlier and may have decided", () => {
+        const { owner, advance, kinds } = createFixture();
+        advance(500);
+        owner.updateContact(1, true, 300);
+        expect(kinds(10).filter(kind => kind === "granted")).toHaveLength(2);
+    });
+
     test("starts with nothing when older instances are in contact, which may have admitted requests meanwhile", () => {
         const { owner, advance, kinds } = createFixture();
         advance(500);
@@ -71,6 +83,30 @@
         expect(kinds(30)).toContain("rejected");
     });
 
+    // Guards against an owner that is in contact with the others before it has read its configuration: it began without a limit, and
+    // the limit that came after it with an empty bucket.
+    test("begins with its configuration, with what the rate has earned since its own start", () => {
+        const { owner, configure, advance, kinds } = createFixture({ isConfigured: false });
+        advance(500);
+        owner.updateContact(1, true);
+        expect(kinds(1)).toEqual(["starting"]);
+        advance(500);
+        configure();
+        owner.updateContact(1, true);
+        expect(kinds(20).filter(kind => kind === "granted")).toHaveLength(10);
+    });
+
+    // Guards against requests that wait for an owner which cannot read its configuration.
+    test("knows no limit when it has no configuration after some seconds", () => {
+        const { owner, advance, kinds } = createFixture({ isConfigured: false });
+        advance(2_400);
+        owner.updateContact(1, true);
+        expect(kinds(1)).toEqual(["starting"]);
+        advance(200);
+        owner.updateContact(1, true);
+        expect(kinds(1)).toEqual(["unknown"]);
+    });
+
     // Guards against a token that is taken twice because a response was lost.
     test("gives a repeated request the decision of the first", () => {
         const { owner, advance, limit } = createFixture();
@@ -98,6 +134,64 @@
     });
 });
 
+/** Returns the delays of granted requests in milliseconds, and -1 for others. */
+function delays(decisions: readonly TokenDecision[]): number[] {
+    return decisions.map(decision => decision.kind === "granted" ? decision.delayMs ?? 0 : -1);
+}
+
+describe("the owner of a limit, shortly after its start", () => {
+    // Guards against requests within the plan that are rejected because the bucket begins empty.
+    test("lets requests wait for the tokens to come, each for its own", () => {
+        const { owner, advance } = createFixture();
+        advance(300);
+        owner.updateContact(1, true);
+        const decisions = Array.from({ length: 6 }, () => owner.decide(limitName, 250));
+        expect(delays(decisions)).toEqual([0, 0, 0, 100, 200, -1]);
+    });
+
+    // Guards against a request that waits although its token will not be there in time.
+    test("rejects a request at once whose token will be there too late", () => {
+        const { owner, advance } = createFixture();
+        advance(300);
+        owner.updateContact(1, false);
+        expect(owner.decide(limitName, 90)).toMatchObject({ kind: "rejected", nextTokenMs: 100 });
+        expect(delays([owner.decide(limitName, 100)])).toEqual([100]);
+    });
+
+    // Guards against more than rate and burst in a window: each owner that begins reserves tokens beside what it grants.
+    test("reserves no more than the part of the burst that it does not begin with", () => {
+        const { owner, advance } = createFixture({ burst: 5 });
+        advance(300);
+        owner.updateContact(1, true);
+        const decisions = Array.from({ length: 20 }, () => owner.decide(limitName, 800));
+        expect(delays(decisions).filter(ms => ms >= 0)).toHaveLength(5);
+    });
+
+    test("lets requests wait for at most 800 ms, and not beyond its first 5 s", () => {
+        const { owner, advance } = createFixture();
+        advance(300);
+        owner.updateContact(1, false);
+        const decisions = Array.from({ length: 20 }, () => owner.decide(limitName, 2_000));
+        expect(Math.max(...delays(decisions))).toBe(800);
+        advance(4_650);
+        delays(Array.from({ length: 50 }, () => owner.decide(limitName, 2_000)))
+            .forEach(ms => expect(ms).toBeLessThanOrEqual(50));
+        advance(60);
+        expect(owner.decide(limitName, 2_000).kind).toBe("rejected");
+    });
+
+    // Guards against a bucket that counts a reserved token twice because its request was repeated.
+    test("reserves one token for a repeated request", () => {
+        const { owner, limit, advance } = createFixture();
+        advance(300);
+        owner.updateContact(1, false);
+        const request = { id: "a1-1", name: limitName, maxDelayMs: 500 };
+        const responses = [owner.answer(request), owner.answer(request)];
+        expect(delays(responses.map(({ decision }) => decision))).toEqual([100, 100]);
+        expect(limit.admitted).toBe(1);
+    });
+});
+
 /** Returns instances that all started long ago. */
 function candidates(count: number): OwnerCandidate[] {
     return Array.from({ length: count }, (_, index) => ({ address: `10.1.0.${index}:7660`, runningSince: 0 }));
