--- a/packages/gateway/src/bounded-server.ts
+++ b/packages/gateway/src/bounded-server.ts
@@ -5,19 +5,30 @@
 /** Header bytes, and times in milliseconds, of requests to listeners that serve no callers. */
 const maxHeaderSize = 16 * 1024;
 const headersTimeout = 3_000;
-const requestTimeout = 5_000;
+const defaultRequestTimeoutMs = 5_000;
 const inactiveTimeoutMs = 10_000;
 const checkIntervalMs = 500;
 /** Requests on one connection whose responses have not been sent. */
 const maxPendingRequests = 16;
 
+/** Options of a bounded server. */
+export interface BoundedServerOptions {
+    maxConnections: number;
+    /** Called when a connection is closed because of a limit. */
+    dropped(): void;
+    /** Whether the handler reads bodies and bounds them; by default the response to a request with one closes the connection. */
+    readsBodies?: boolean;
+    /** Time in milliseconds in which a request has to arrive completely. */
+    requestTimeoutMs?: number;
+}
+
 /**
- * Creates an HTTP server whose clients cannot fill the memory or the descriptors of the process. It reads no bodies: the response to
- * a request with one closes the connection. Above the limit of connections, the one whose last request is oldest is closed.
+ * Creates an HTTP server whose clients cannot fill the memory or the descriptors of the process. Above the limit of connections, the
+ * one whose last request is oldest is closed.
  */
 export function createBoundedServer(
     handle: RequestListener,
-    { maxConnections, dropped }: { maxConnections: number; dropped(): void; },
+    { maxConnections, dropped, readsBodies = false, requestTimeoutMs = defaultRequestTimeoutMs }: BoundedServerOptions,
 ): Server {
     /** Connections in the order of their last requests, with their pending responses. */
     const pendingCounts = new Map<Socket, number>();
@@ -29,7 +40,12 @@
     }
 
     const server = createServer(
-        { maxHeaderSize, headersTimeout, requestTimeout, connectionsCheckingInterval: checkIntervalMs },
+        {
+            maxHeaderSize,
+            headersTimeout,
+            requestTimeout: requestTimeoutMs,
+            connectionsCheckingInterval: checkIntervalMs,
+        },
         (incoming, outgoing) => {
             const { socket, headers } = incoming;
             const pending = pendingCounts.get(socket);
@@ -48,7 +64,8 @@
                     pendingCounts.set(socket, count - 1);
                 }
             });
-            if (headers["transfer-encoding"] !== undefined || Number(headers["content-length"] ?? 0) > 0) {
+            const hasBody = headers["transfer-encoding"] !== undefined || Number(headers["content-length"] ?? 0) > 0;
+            if (hasBody && !readsBodies) {
                 outgoing.setHeader("Connection", "close");
             }
             handle(incoming, outgoing);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -13,14 +13,13 @@
 import type { Result } from "neverthrow";
 import { randomBytes } from "node:crypto";
 import { setMaxListeners } from "node:events";
-import { createServer } from "node:http";
 import type { Server as Listener } from "node:net";
 import { createBoundedServer } from "./bounded-server";
 import { createCallerConnections } from "./caller-connections";
 import { createCallerServer } from "./caller-server";
 import { createChunkPacer } from "./chunk-pacing";
 import { createConfigurationState } from "./configuration-state";
-import { createCopyListener } from "./copy-server";
+import { copyTimeoutMs, createCopyListener } from "./copy-server";
 import { defaultMaxDescriptors, divideDescriptors } from "./descriptor-shares";
 import { createEvacuations } from "./evacuations";
 import { createFieldPacer } from "./field-pacing";
@@ -288,7 +287,11 @@
     const readiness = createBoundedServer((incoming, outgoing) => {
         outgoing.writeHead(incoming.url === platform.readinessPath && isReady() ? 200 : 503).end();
     }, otherListener);
-    const peerServer = createServer(createCopyListener(streams.copies));
+    const peerServer = createBoundedServer(createCopyListener(streams.copies), {
+        ...otherListener,
+        readsBodies: true,
+        requestTimeoutMs: copyTimeoutMs,
+    });
     const metricsServer = createBoundedServer((incoming, outgoing) => {
         if (incoming.url !== settings.metrics.path) {
             outgoing.writeHead(404).end();
--- a/test/hostile-clients/fixtures.ts
+++ b/test/hostile-clients/fixtures.ts
@@ -58,9 +58,9 @@
 }
 
 /** Listener and path that a crowd calls. */
-export type Place = "route" | "no route" | "readiness";
+export type Place = "route" | "no route" | "readiness" | "instances";
 
-/** Every listener and kind of path. */
+/** Every kind of path of callers, and the readiness listener. */
 export const places: readonly Place[] = ["route", "no route", "readiness"];
 
 /** A gateway process with one target, and its clients. */
@@ -88,7 +88,12 @@
     stayMs: number;
 }
 
-const paths: Record<Place, string> = { "route": "/filing/1", "no route": "/none/1", "readiness": "/api/ready" };
+const paths: Record<Place, string> = {
+    "route": "/filing/1",
+    "no route": "/none/1",
+    "readiness": "/api/ready",
+    "instances": "/streams/targets",
+};
 
 /** Returns the head of a request without the empty line at its end. */
 export function headText(
@@ -132,6 +137,12 @@
     fleet.register({ id: "t", port: target.port }, 2_000);
     const { host, process: child } = fleet.gateways[0]!;
     const callers = { host, port: fleet.callersPort };
+    const ports: Record<Place, number> = {
+        "route": fleet.callersPort,
+        "no route": fleet.callersPort,
+        "readiness": fleet.readinessPort,
+        "instances": fleet.peersPort,
+    };
     const clients = new Set<Client>();
     let mostDescriptors = 0;
     const sampler = setInterval(() => {
@@ -141,7 +152,7 @@
     await waitUntil(servesOne);
 
     function listenerOf(place: Place): Listener {
-        return place === "readiness" ? { host, port: fleet.readinessPort } : callers;
+        return { host, port: ports[place] };
     }
 
     function open(place: Place, index: number, { send, reads }: CrowdOptions): Promise<Client> {
--- a/test/soak/soak-fleet.ts
+++ b/test/soak/soak-fleet.ts
@@ -45,6 +45,8 @@
     gateways: SoakGateway[];
     callersPort: number;
     readinessPort: number;
+    /** Port of the listeners between instances. */
+    peersPort: number;
     /** Publishes a configuration with these keys and a number of additional routes that no caller uses. */
     publish(keys: readonly string[], extraRoutes?: number): void;
     /**
@@ -207,6 +209,7 @@
         gateways,
         callersPort,
         readinessPort,
+        peersPort,
         publish,
         restoreStore(copy) {
             store.restore(copy);
