--- a/test/soak/soak-fleet.ts
+++ b/test/soak/soak-fleet.ts
@@ -48,6 +48,8 @@
     gateways: SoakGateway[];
     callersPort: number;
     readinessPort: number;
+    /** Port of the listeners between instances. */
+    peersPort: number;
     /** Publishes a configuration with these keys and a number of additional routes that no caller uses. */
     publish(keys: readonly string[], extraRoutes?: number): void;
     /**
@@ -211,6 +213,7 @@
         gateways,
         callersPort,
         readinessPort,
+        peersPort,
         publish,
         restoreStore(copy) {
             store.restore(copy);
