--- a/test/limits/cold-shares.test.ts
+++ b/test/limits/cold-shares.test.ts
@@ -2,6 +2,7 @@
 import type { OwnerCandidate } from "@trefoilladder/limits";
 import { maxInWindow, simulateFleet, warmUpMs } from "./fleet-simulation";
 import type { FleetEvent, FleetRun, FleetScenario } from "./fleet-simulation";
+import { restartAt } from "./restart-event";
 
 /** Seeds of the runs, `LIMIT_SEEDS=20` for the first twenty. */
 const seeds = Array.from({ length: Number(process.env.LIMIT_SEEDS ?? 1) }, (_, index) => index + 1);
@@ -11,7 +12,6 @@
 const perSecond = 4.7;
 const allowed = Math.floor(1.5 * perSecond + 8);
 const boundWindowMs = 1_000;
-const restartMs = 300;
 /** Targets of a failure domain. */
 const ids = Array.from({ length: 4 }, (_, index) => `i-${index}`);
 
@@ -35,10 +35,6 @@
     return Array.from({ length: instances }, (_, index) => index);
 }
 
-function restartAt(atMs: number, instances: readonly number[]): FleetEvent {
-    return { kind: "restart", atMs: warmUpMs + atMs, instances, forMs: restartMs };
-}
-
 // Guards against a cold target that crashes because the instances together send it more than it can handle.
 describe.each(sizes)("%d instances send a cold target no more than its bound", instances => {
     const all = indices(instances);
--- a/test/limits/restarted-instances.test.ts
+++ b/test/limits/restarted-instances.test.ts
@@ -1,22 +1,18 @@
 import { allowedInWindow, maxInWindow, simulateFleet, warmUpMs } from "./fleet-simulation";
 import type { FleetEvent, FleetScenario, Plan } from "./fleet-simulation";
+import { restartAt } from "./restart-event";
 
 const instances = 40;
 const all = Array.from({ length: instances }, (_, index) => index);
 const plan: Plan = { ratePerSecond: 60, burst: 120 };
 /** Plan whose burst is used up within the interval of digests. */
 const smallBurst: Plan = { ratePerSecond: 50, burst: 20 };
-const restartMs = 300;
 
 /** Returns ten times the plan's rate from all callers together. */
 function tenTimes({ ratePerSecond }: Plan): FleetScenario["demandPerSecond"] {
     return () => 10 * ratePerSecond;
 }
 
-function restartAt(atMs: number, restarted: readonly number[]): FleetEvent {
-    return { kind: "restart", atMs: warmUpMs + atMs, instances: restarted, forMs: restartMs };
-}
-
 /** Returns a third of the instances, different ones for each turn. */
 function third(turn: number): number[] {
     return all.filter(index => index % 3 === turn % 3);
