--- a/packages/gateway/src/request-turns.ts
+++ b/packages/gateway/src/request-turns.ts
@@ -48,8 +48,8 @@
     isOpen(): boolean;
 }
 
-/** Memory in bytes of the requests of one connection that are handled at once; about 64 of a usual size. */
-const maxHandledBytes = 1024 * 1024;
+/** Memory in bytes of the requests of one connection that are handled at once; about 16 of a usual size. */
+const maxHandledBytes = 256 * 1024;
 
 /** Creates the turns of a connection without requests. */
 export function createRequestTurns({ readHold, pacer, now, isOpen }: RequestTurnParts): RequestTurns {
