--- a/packages/gateway/src/attempt-run.ts
+++ b/packages/gateway/src/attempt-run.ts
@@ -20,6 +20,7 @@
 import { startAttempt } from "./attempt";
 import type { Attempt, AttemptParts, AttemptResult } from "./attempt";
 import type { IdleLimits } from "./idle-limits";
+import { roundToThousandths } from "./rounding";
 import type { RequestWork } from "./service-work";
 import type { TargetEligibility } from "./target-eligibility";
 
@@ -139,9 +140,9 @@
         }
         const { target } = chosen;
         lastChoice = {
-            sick: round(chosen.unhealthyProbability),
-            pathSick: round(chosen.pathFailureProbability),
-            utilisation: round(chosen.utilisation),
+            sick: roundToThousandths(chosen.unhealthyProbability),
+            pathSick: roundToThousandths(chosen.pathFailureProbability),
+            utilisation: roundToThousandths(chosen.utilisation),
         };
         excluded.add(target.id);
         options.eligibility?.recordChoice(target);
@@ -307,7 +308,3 @@
         },
     };
 }
-
-function round(value: number): number {
-    return Math.round(value * 1_000) / 1_000;
-}
--- a/packages/gateway/src/rate-limits.ts
+++ b/packages/gateway/src/rate-limits.ts
@@ -6,6 +6,7 @@
 import type { LimitGroup, LimitState, SharedLimit } from "@trefoilladder/limits";
 import type { Organisation } from "@trefoilladder/serving";
 import type { DecisionLog } from "@trefoilladder/telemetry";
+import { roundToThousandths } from "./rounding";
 
 /** The rate limits in force. */
 export interface RateLimits {
@@ -20,7 +21,7 @@
     return {
         level: Math.round(state.level * 10) / 10,
         burst: state.burst,
-        share: Math.round(state.contactShare * 1_000) / 1_000,
+        share: roundToThousandths(state.contactShare),
         admitted: Math.round(state.admitted),
         rejected: state.rejected,
         reporters: state.reporters,
--- a/packages/gateway/src/service-summary.ts
+++ b/packages/gateway/src/service-summary.ts
@@ -5,6 +5,7 @@
 
 import { quantile } from "@trefoilladder/placement";
 import type { Candidate } from "@trefoilladder/placement";
+import { roundToThousandths } from "./rounding";
 
 /** Quantiles over the targets of a service. */
 export interface EstimateQuantiles {
@@ -30,7 +31,7 @@
 const suspectProbability = 0.5;
 
 function quantilesOf(values: readonly number[]): EstimateQuantiles {
-    const at = (share: number) => Math.round((quantile(values, share) ?? 0) * 1_000) / 1_000;
+    const at = (share: number) => roundToThousandths(quantile(values, share) ?? 0);
     return { p10: at(0.1), p50: at(0.5), p90: at(0.9) };
 }
 
--- a/packages/gateway/src/target-tracker.ts
+++ b/packages/gateway/src/target-tracker.ts
@@ -26,6 +26,7 @@
 import type { DecisionLog } from "@trefoilladder/telemetry";
 import { idleReset } from "./idle-limits";
 import type { IdleLimits } from "./idle-limits";
+import { roundToThousandths } from "./rounding";
 import { createServiceWork } from "./service-work";
 import type { RequestWork } from "./service-work";
 import type { TargetSets } from "./target-sets";
@@ -182,7 +183,7 @@
         if (suspected !== entry.suspected) {
             entry.suspected = suspected;
             const event = suspected ? "target_suspected" : "target_trusted";
-            log.stateChange(event, { target, sick: Math.round(probability * 1_000) / 1_000, outcome: kind, source });
+            log.stateChange(event, { target, sick: roundToThousandths(probability), outcome: kind, source });
         }
     }
 
--- a/packages/gateway/src/work-admission.ts
+++ b/packages/gateway/src/work-admission.ts
@@ -11,6 +11,7 @@
 import type { Result } from "neverthrow";
 import { refusal } from "./refusal";
 import type { Refusal } from "./refusal";
+import { roundToThousandths } from "./rounding";
 import type { RequestWork } from "./service-work";
 import type { TargetCandidate } from "./target-tracker";
 
@@ -193,10 +194,10 @@
                 remainingMs: Math.round(remainingMs),
                 priority,
                 workMs: Math.round(work.serviceMs),
-                fitShare: round(fit),
-                inTimeShare: round(inTime),
-                yieldShare: round(yielded),
-                fairShare: round(fair),
+                fitShare: roundToThousandths(fit),
+                inTimeShare: roundToThousandths(inTime),
+                yieldShare: roundToThousandths(yielded),
+                fairShare: roundToThousandths(fair),
                 lostShare: lost,
             };
             const retryAfterSeconds = retryAfter(request, waitMs);
@@ -208,10 +209,6 @@
     };
 }
 
-function round(value: number): number {
-    return Math.round(value * 1_000) / 1_000;
-}
-
 /** Creates the admissions of all services. */
 export function createWorkAdmissions(parts: { now(): number; random(): number; }): (service: string) => WorkAdmission {
     const admissions = new Map<string, WorkAdmission>();
