--- a/packages/upstream/src/response-parser.ts
+++ b/packages/upstream/src/response-parser.ts
@@ -6,6 +6,7 @@
  */
 
 import { HTTPParser } from "http-parser-js";
+import { readSmallChunks } from "./small-chunks";
 
 /** Status line and headers of a response. */
 export interface ResponseHead {
@@ -48,21 +49,33 @@
 
 /** Members of the library's parser that its type declarations omit. */
 interface ParserInternals {
+    chunk: Buffer;
     offset: number;
     end: number;
     /** Received part of an incomplete line. */
     line: string;
     trailers: string[];
     consumeLine(): string | undefined;
+    /** Marks that errors thrown until the returned function is called are the listener's and not the peer's. */
+    userCall(): (result: void) => void;
     BODY_CHUNKHEAD(): void;
     body_bytes: number | null;
     isChunked: boolean;
     state: string;
 }
 
-/** Rejects a chunk size that is not a number; the library would interpret it as the end of the body. */
-function useStrictChunkSizes(parser: ParserInternals): void {
+/**
+ * Rejects a chunk size that is not a number; the library would interpret it as the end of the body. Passes on the small chunks of one
+ * read together.
+ */
+function useOwnChunkReader(parser: ParserInternals, body: (bytes: Buffer) => void): void {
     parser.BODY_CHUNKHEAD = () => {
+        const small = parser.line === "" ? readSmallChunks(parser.chunk, parser.offset, parser.end) : undefined;
+        if (small !== undefined) {
+            parser.offset = small.offset;
+            parser.userCall()(body(small.body));
+            return;
+        }
         const line = parser.consumeLine();
         if (line === undefined) {
             return;
@@ -96,8 +109,13 @@
 export function createResponseParser(listener: ResponseListener): ResponseParser {
     const parser = new HTTPParser(HTTPParser.RESPONSE);
     const internals = parser as unknown as ParserInternals;
-    useStrictChunkSizes(internals);
     let framingError: Error | undefined;
+    const passOn = (bytes: Buffer) => {
+        if (framingError === undefined) {
+            listener.body(bytes);
+        }
+    };
+    useOwnChunkReader(internals, passOn);
 
     parser[HTTPParser.kOnHeadersComplete] = info => {
         const { statusCode, statusMessage, headers } = info as unknown as {
@@ -118,11 +136,7 @@
             bodyLength: internals.body_bytes ?? undefined,
         }) as unknown as void;
     };
-    parser[HTTPParser.kOnBody] = (chunk, offset, length) => {
-        if (framingError === undefined) {
-            listener.body(chunk.subarray(offset, offset + length));
-        }
-    };
+    parser[HTTPParser.kOnBody] = (chunk, offset, length) => passOn(chunk.subarray(offset, offset + length));
     parser[HTTPParser.kOnMessageComplete] = () => {
         if (framingError === undefined) {
             listener.end(internals.offset < internals.end);
