--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -84,7 +84,7 @@
 
 /** Options of the registry. */
 export interface CallerConnectionOptions {
-    budget: Pick<MemoryBudget, "open" | "dropLeastActive" | "acceptsWaiting">;
+    budget: Pick<MemoryBudget, "open" | "dropLeastActive" | "acceptsWaiting" | "isAmple">;
     fieldPacer: FieldPacer;
     maxConnections: number;
     now(): number;
@@ -174,6 +174,7 @@
                     pacer: fieldPacer,
                     now,
                     isOpen: () => !socket.destroyed && !socket.writableEnded,
+                    hasAmpleMemory: budget.isAmple,
                 }),
                 unsent: undefined,
                 readingBodies: new Set(),
--- a/packages/gateway/src/memory-budget.ts
+++ b/packages/gateway/src/memory-budget.ts
@@ -42,6 +42,8 @@
     open(options: HolderOptions): MemoryHolder;
     /** Returns whether the body of a further request is read. */
     acceptsBodies(): boolean;
+    /** Returns whether little memory is used, so that one connection may have many requests in hand. */
+    isAmple(): boolean;
     /** Returns whether a further request that has to wait for others on its connection is kept. */
     acceptsWaiting(): boolean;
     /** Returns whether a further request is handled. */
@@ -61,7 +63,8 @@
 /** Largest budget in bytes: a part of it is on the heap, whose limit does not depend on the machine. */
 const maxBudgetBytes = 128 * 1024 * 1024;
 
-/** Shares of the budget: no further bodies and waiting requests, dropping begins, dropping ends, no further requests. */
+/** Shares of the budget: fewer requests at once on a connection, no further bodies and waiting requests, dropping begins, dropping ends, no further requests. */
+const ampleShare = 0.25;
 const bodyShare = 0.5;
 const dropShare = 0.75;
 const afterDropShare = 0.65;
@@ -160,6 +163,7 @@
             };
         },
         acceptsBodies: () => total < bodyShare * totalBytes,
+        isAmple: () => total < ampleShare * totalBytes,
         acceptsWaiting: () => total < bodyShare * totalBytes,
         acceptsRequests: () => total < requestShare * totalBytes,
         dropLongestWaiting: use => dropFirst(({ held }) => held[use] > 0),
--- a/packages/gateway/src/request-turns.ts
+++ b/packages/gateway/src/request-turns.ts
@@ -46,13 +46,21 @@
     now(): number;
     /** Returns whether a response to a request whose turn comes can still be sent. */
     isOpen(): boolean;
+    /** Returns whether little memory is held for callers in the whole process. */
+    hasAmpleMemory(): boolean;
 }
 
-/** Memory in bytes of the requests of one connection that are handled at once; about 16 of a usual size. */
-const maxHandledBytes = 256 * 1024;
+/**
+ * Memory in bytes of the requests of one connection that are handled at once, about 64 of a usual size, and 16 while many requests
+ * and responses are held: crowds that read no responses kept a process busy for half a minute with 64 each.
+ */
+const maxHandledBytes = 1024 * 1024;
+const maxHandledBytesWhenBusy = 256 * 1024;
 
 /** Creates the turns of a connection without requests. */
-export function createRequestTurns({ readHold, pacer, now, isOpen }: RequestTurnParts): RequestTurns {
+export function createRequestTurns(parts: RequestTurnParts): RequestTurns {
+    const { readHold, pacer, now, isOpen, hasAmpleMemory } = parts;
+
     interface Waiting {
         bytes: number;
         resolve(isHandled: boolean): void;
@@ -68,7 +76,8 @@
     let releasedAt: number | undefined;
 
     function hasRoom(bytes: number): boolean {
-        return (handledBytes === 0 || handledBytes + bytes <= maxHandledBytes) && now() >= pacedUntil;
+        const allowedBytes = hasAmpleMemory() ? maxHandledBytes : maxHandledBytesWhenBusy;
+        return (handledBytes === 0 || handledBytes + bytes <= allowedBytes) && now() >= pacedUntil;
     }
 
     function hasToWait(bytes: number): boolean {
--- a/packages/limits/src/limit-group.ts
+++ b/packages/limits/src/limit-group.ts
@@ -9,6 +9,8 @@
 
 /** Shared limits by name. */
 export interface LimitGroup {
+    /** Whether a configuration has set the limits, even if it holds none. */
+    readonly isConfigured: boolean;
     get(name: string): SharedLimit | undefined;
     /** Returns the names and limits. */
     all(): IterableIterator<[name: string, limit: SharedLimit]>;
@@ -90,6 +92,7 @@
     let contactShare = 1;
     let lastTickAt: number | undefined;
     let lastPauseAt = -Infinity;
+    let isConfigured = false;
 
     function recordContact(sender: string): void {
         lastContacts.delete(sender);
@@ -158,6 +161,9 @@
     }
 
     return {
+        get isConfigured() {
+            return isConfigured;
+        },
         get(name) {
             detectPause();
             const entry = entries.get(name);
@@ -171,10 +177,12 @@
             }
         },
         add(name, limit) {
+            isConfigured = true;
             limit.setContactShare(contactShare, now());
             entries.set(name, { limit, sentTotal: 0, sentIncrement: 0, resendsLeft: 0, removedAt: undefined });
         },
         retain(names) {
+            isConfigured = true;
             for (const [name, entry] of [...entries]) {
                 if (!names.has(name) && entry.removedAt === undefined) {
                     entry.removedAt = now();
--- a/packages/limits/src/shared-limit.ts
+++ b/packages/limits/src/shared-limit.ts
@@ -138,7 +138,8 @@
         level: currentLevel,
         take(now, maxDelayMs = 0) {
             const missing = Math.max(0, 1 - currentLevel(now));
-            const delayMs = missing * 1_000 / (ratePerSecond * contactShare);
+            // A bucket without a rate, such as one of retries, earns no token by waiting.
+            const delayMs = missing === 0 ? 0 : missing * 1_000 / (ratePerSecond * contactShare);
             if (delayMs > maxDelayMs) {
                 rejected += 1;
                 return delayMs;
--- a/packages/limits/src/token-owner.ts
+++ b/packages/limits/src/token-owner.ts
@@ -28,7 +28,7 @@
 const minStartShare = 0.9;
 /** Age in milliseconds at which decisions begin without most known instances. */
 const maxStartMs = 1_500;
-/** Age in milliseconds at which an instance without any limit answers that it knows none, so that others decide. */
+/** Age in milliseconds at which an instance without a configuration answers that it knows no limit, so that others decide. */
 const maxUnconfiguredMs = 2_500;
 /** Age in milliseconds by which requests no longer wait for tokens: buckets that begin empty have caught up by then. */
 const reservationPhaseMs = 5_000;
@@ -71,13 +71,9 @@
         return contactShare < minStartShare && now() - startedAt < maxStartMs;
     }
 
-    function hasLimits(): boolean {
-        return group.all().next().done !== true;
-    }
-
     /** Returns the time in milliseconds until decisions begin at the latest. */
     function remainingStartMs(): number {
-        return Math.max(0, startedAt + (hasLimits() ? maxStartMs : maxUnconfiguredMs) - now());
+        return Math.max(0, startedAt + (group.isConfigured ? maxStartMs : maxUnconfiguredMs) - now());
     }
 
     function startingDecision(): TokenDecision {
@@ -101,7 +97,7 @@
 
     function decide(name: string, maxDelayMs = 0): TokenDecision {
         const limit = group.get(name);
-        if (limit === undefined && (isStarted || hasLimits())) {
+        if (limit === undefined && (isStarted || group.isConfigured)) {
             return { kind: "unknown" };
         }
         if (limit === undefined || !isStarted) {
@@ -146,7 +142,10 @@
         updateContact(share, startedTogether, startDelayMs = 0) {
             const ageMs = now() - startedAt;
             contactShare = share;
-            if (isStarted || ageMs < minStartMs || remainingStartMs() > 0 && (share < minStartShare || !hasLimits())) {
+            if (
+                isStarted || ageMs < minStartMs
+                || remainingStartMs() > 0 && (share < minStartShare || !group.isConfigured)
+            ) {
                 return;
             }
             isStarted = true;
--- a/test/limits/shared-limit.test.ts
+++ b/test/limits/shared-limit.test.ts
@@ -254,4 +254,12 @@
         expect(limit.take(0)).toBe(0);
         expect(limit.admitted).toBe(1);
     });
+
+    // Guards against a fleet without retries and hedged attempts: their buckets have no rate, and a token that was there was not
+    // granted because the time until it was 0 divided by 0.
+    test("grants the tokens of a bucket without a rate at once", () => {
+        const limit = createSharedLimit({ ratePerSecond: 0, burst: 2, now: 0, contactShare: 1, initialLevel: 1 });
+        expect(limit.take(0)).toBe(0);
+        expect(limit.take(0)).toBe(Infinity);
+    });
 });
--- a/test/limits/token-owner.test.ts
+++ b/test/limits/token-owner.test.ts
@@ -107,6 +107,16 @@
         expect(kinds(1)).toEqual(["unknown"]);
     });
 
+    // Guards against an instance that waits for limits although its configuration has none.
+    test("begins with a configuration without limits", () => {
+        const { owner, group, advance, kinds } = createFixture({ isConfigured: false });
+        group.retain(new Set());
+        advance(500);
+        owner.updateContact(1, true);
+        expect(owner.startsInMs()).toBe(0);
+        expect(kinds(1)).toEqual(["unknown"]);
+    });
+
     // Guards against a token that is taken twice because a response was lost.
     test("gives a repeated request the decision of the first", () => {
         const { owner, advance, limit } = createFixture();
