--- a/packages/gateway/src/body-source.ts
+++ b/packages/gateway/src/body-source.ts
@@ -6,6 +6,7 @@
 import type { IncomingMessage } from "node:http";
 import { createBodyBuffer } from "./body-buffer";
 import type { ChunkPacer } from "./chunk-pacing";
+import { memoryUse } from "./memory-budget";
 import type { MemoryHolder } from "./memory-budget";
 
 /** Receives what happens to a body. */
@@ -33,6 +34,17 @@
     discard(): void;
 }
 
+/** Returns whether a request has a body, which may still be received. */
+export function hasBody({ rawHeaders }: Pick<IncomingMessage, "rawHeaders">): boolean {
+    for (let index = 0; index < rawHeaders.length; index += 2) {
+        const name = rawHeaders[index]!.toLowerCase();
+        if (name === "transfer-encoding" || name === "content-length" && Number(rawHeaders[index + 1]) > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /** Starts to read a body. */
 export function createBodySource(
     incoming: IncomingMessage,
@@ -92,6 +104,12 @@
         }
     }
 
+    /** Begins a new block of memory, so that the bytes received before are no longer held here. */
+    function startBlock(): void {
+        memory.add(memoryUse.body, -received.capacity);
+        received = createBodyBuffer();
+    }
+
     function end(complete: boolean): void {
         if (ending === undefined) {
             ending = { complete };
@@ -105,7 +123,7 @@
         if (!isDiscarded) {
             const before = received.capacity;
             received.add(chunk);
-            memory.add("body", received.capacity - before);
+            memory.add(memoryUse.body, received.capacity - before);
             listener?.data();
         }
         paceNext(chunk.length);
@@ -135,8 +153,7 @@
         },
         take() {
             const bytes = received.bytes();
-            memory.add("body", -received.capacity);
-            received = createBodyBuffer();
+            startBlock();
             return bytes;
         },
         hold() {
@@ -152,8 +169,7 @@
         discard() {
             isDiscarded = true;
             listener = undefined;
-            memory.add("body", -received.capacity);
-            received = createBodyBuffer();
+            startBlock();
             this.release();
         },
     };
--- a/packages/gateway/src/bounded-server.ts
+++ b/packages/gateway/src/bounded-server.ts
@@ -1,6 +1,7 @@
 import { createServer } from "node:http";
 import type { RequestListener, Server } from "node:http";
 import type { Socket } from "node:net";
+import { hasBody } from "./body-source";
 
 /** Header bytes, and times in milliseconds, of requests to listeners that serve no callers. */
 const maxHeaderSize = 16 * 1024;
@@ -47,7 +48,7 @@
             connectionsCheckingInterval: checkIntervalMs,
         },
         (incoming, outgoing) => {
-            const { socket, headers } = incoming;
+            const { socket } = incoming;
             const pending = pendingCounts.get(socket);
             if (pending === undefined) {
                 return;
@@ -64,8 +65,7 @@
                     pendingCounts.set(socket, count - 1);
                 }
             });
-            const hasBody = headers["transfer-encoding"] !== undefined || Number(headers["content-length"] ?? 0) > 0;
-            if (hasBody && !readsBodies) {
+            if (!readsBodies && hasBody(incoming)) {
                 outgoing.setHeader("Connection", "close");
             }
             handle(incoming, outgoing);
--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -84,7 +84,7 @@
 
 /** Options of the registry. */
 export interface CallerConnectionOptions {
-    budget: Pick<MemoryBudget, "open" | "dropLeastActive" | "acceptsWaiting" | "isAmple">;
+    budget: Pick<MemoryBudget, "open" | "dropLeastActive" | "acceptsBodies" | "isAmple">;
     fieldPacer: FieldPacer;
     maxConnections: number;
     now(): number;
@@ -203,7 +203,7 @@
             const fields = incoming.rawHeaders.length / 2;
             const bytes = requestBytes + fields * headerFieldBytes;
             const waitingBytes = waitingRequestBytes + fields * waitingFieldBytes;
-            const canWait = budget.acceptsWaiting() && !connection.turns.waitsTooLong();
+            const canWait = budget.acceptsBodies() && !connection.turns.waitsTooLong();
             if (connection.turns.hasToWait(bytes) && !canWait) {
                 log.request("", "caller_reads_too_late", { pending: connection.pending.size });
                 closeAfterPending(socket, connection);
--- a/packages/gateway/src/caller-responses.ts
+++ b/packages/gateway/src/caller-responses.ts
@@ -7,6 +7,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { BodySource } from "./body-source";
 import type { CallerConnections } from "./caller-connections";
+import { firstCallerLimits } from "./caller-server";
 import type { HeaderNames } from "./header-names";
 import type { MemoryBudget, MemoryUse } from "./memory-budget";
 import type { Metrics } from "./metrics";
@@ -43,9 +44,6 @@
     charge(incoming: IncomingMessage, outgoing: ServerResponse, use: MemoryUse, bytes: number): void;
 }
 
-/** Largest part of a refused body that is read before the first configuration, in bytes, and the time for it. */
-const firstUnreadBodyLimits = { maxBodyBytes: 64 * 1024 * 1024, idleTimeoutMs: 15_000 };
-
 /** Creates the responses. */
 export function createCallerResponses(parts: CallerResponseParts): CallerResponses {
     const { headerNames, log, now } = parts;
@@ -75,7 +73,7 @@
 
     function discardBody(incoming: IncomingMessage, id: string): void {
         parts.sourceOf(incoming)?.discard();
-        const { maxBodyBytes, idleTimeoutMs } = parts.configuration()?.configuration.limits ?? firstUnreadBodyLimits;
+        const { maxBodyBytes, idleTimeoutMs } = parts.configuration()?.configuration.limits ?? firstCallerLimits;
         boundUnreadBody(incoming, {
             maxBytes: maxBodyBytes,
             maxMs: idleTimeoutMs,
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -21,6 +21,11 @@
 const firstMaxHeaderSize = 48 * 1024;
 /** Time in milliseconds within which a head has to arrive before the first configuration. */
 const firstHeaderTimeoutMs = 3_000;
+/** Largest body in bytes, and idle time in milliseconds, before the first configuration. */
+export const firstCallerLimits: Pick<CallerLimits, "maxBodyBytes" | "idleTimeoutMs"> = {
+    maxBodyBytes: 64 * 1024 * 1024,
+    idleTimeoutMs: 15_000,
+};
 /** Header fields of a request; a head within the default limit of its bytes has room for fewer. */
 export const maxHeaderFields = 4_000;
 /** Interval of the check for request heads that exceed their timeout, in milliseconds. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -16,7 +16,7 @@
 import type { Server as Listener } from "node:net";
 import { createBoundedServer } from "./bounded-server";
 import { createCallerConnections } from "./caller-connections";
-import { createCallerServer } from "./caller-server";
+import { createCallerServer, firstCallerLimits } from "./caller-server";
 import { createChunkPacer } from "./chunk-pacing";
 import { createConfigurationState } from "./configuration-state";
 import { copyTimeoutMs, createCopyListener } from "./copy-server";
@@ -58,9 +58,8 @@
 
 const connectTimeoutMs = 300;
 const connectionCheckIntervalMs = 2_000;
-/** Interval in milliseconds of the check for callers that do not take their responses, and their time before the first configuration. */
+/** Interval in milliseconds of the check for callers that do not take their responses. */
 const stalledCheckIntervalMs = 1_000;
-const firstIdleTimeoutMs = 15_000;
 /** Minimum change of a total of retries that is reported to other instances; each request adds a fraction of a retry. */
 const minRetryTotalChange = 0.5;
 /** Time in milliseconds in which the last lines of the log are written at the end of a stop; less than the margin before the kill. */
@@ -120,6 +119,7 @@
         runningSince: () => limitDecisions.runningSince(),
         peersRunningSince: () => mesh.peers().map(({ runningSince }) => runningSince),
     });
+    const requestWorks = settings.expectedWork === true ? createRequestWorks() : undefined;
     const targetTracker = createTargetTracker({
         directory,
         domain: settings.domain,
@@ -132,7 +132,7 @@
             now,
         }),
         idleLimits,
-        learnsPaces: settings.expectedWork === true,
+        learnsPaces: requestWorks !== undefined,
         onUrgentChange: () => mesh.requestDigest(),
     });
     const limitGroup = createLimitGroup({
@@ -149,7 +149,6 @@
     const rateLimits = createRateLimits(limitGroup, now, log);
     const limitDecisions = createLimitDecisions({ group: limitGroup, mesh: () => mesh, now, incarnation, log });
     const profiles = createRouteProfiles();
-    const requestWorks = settings.expectedWork === true ? createRequestWorks() : undefined;
     const metrics = createMetrics(log, limitGroup, now, {
         configuration_version: () => configuration.version(),
         targets: () => directory.size,
@@ -329,8 +328,7 @@
     await listen(metricsServer, `${settings.address}:${settings.metrics.port}`);
     const connectionCheck = setInterval(() => pool.closeExpiredConnections(), connectionCheckIntervalMs);
     const stalledCheck = setInterval(() => {
-        const { idleTimeoutMs } = configuration.current()?.configuration.limits
-            ?? { idleTimeoutMs: firstIdleTimeoutMs };
+        const { idleTimeoutMs } = configuration.current()?.configuration.limits ?? firstCallerLimits;
         connections.closeStalled(now(), idleTimeoutMs);
     }, stalledCheckIntervalMs);
     const summarizeState = createStateSummary({
--- a/packages/gateway/src/memory-budget.ts
+++ b/packages/gateway/src/memory-budget.ts
@@ -40,12 +40,10 @@
 /** The budget of a process. */
 export interface MemoryBudget {
     open(options: HolderOptions): MemoryHolder;
-    /** Returns whether the body of a further request is read. */
+    /** Returns whether the body of a further request is read, and one that has to wait for others on its connection is kept. */
     acceptsBodies(): boolean;
     /** Returns whether little memory is used, so that one connection may have many requests in hand. */
     isAmple(): boolean;
-    /** Returns whether a further request that has to wait for others on its connection is kept. */
-    acceptsWaiting(): boolean;
     /** Returns whether a further request is handled. */
     acceptsRequests(): boolean;
     /** Drops the holder that has waited longest for its peer, of those that hold memory for a use; returns whether there was one. */
@@ -164,7 +162,6 @@
         },
         acceptsBodies: () => total < bodyShare * totalBytes,
         isAmple: () => total < ampleShare * totalBytes,
-        acceptsWaiting: () => total < bodyShare * totalBytes,
         acceptsRequests: () => total < requestShare * totalBytes,
         dropLongestWaiting: use => dropFirst(({ held }) => held[use] > 0),
         dropLeastActive: () => dropFirst(entry => !holdsMoreThanConnection(entry)) || dropFirst(() => true),
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -8,7 +8,7 @@
 import type { AdmittedRequest } from "./admitted-request";
 import { startRun } from "./attempt-run";
 import type { AttemptRun, RunParts } from "./attempt-run";
-import { createBodySource } from "./body-source";
+import { createBodySource, hasBody } from "./body-source";
 import type { BodySource } from "./body-source";
 import type { CallerConnections } from "./caller-connections";
 import { readCallerRequest } from "./caller-request";
@@ -69,17 +69,6 @@
     return (buffered?.length ?? contentLength ?? maxBufferedRequestBytes) / 1_024;
 }
 
-/** Returns whether a request has a body, which may still be received. */
-function hasBody({ rawHeaders }: IncomingMessage): boolean {
-    for (let index = 0; index < rawHeaders.length; index += 2) {
-        const name = rawHeaders[index]!.toLowerCase();
-        if (name === "transfer-encoding" || name === "content-length" && rawHeaders[index + 1] !== "0") {
-            return true;
-        }
-    }
-    return false;
-}
-
 /** Creates the request listener of the callers' server. */
 export function createRequestFlow(parts: FlowParts): (incoming: IncomingMessage, outgoing: ServerResponse) => void {
     const { headerNames, log, now } = parts;
@@ -90,6 +79,11 @@
     const responses = createCallerResponses({ ...parts, sourceOf: incoming => sources.get(incoming) });
     const respond = createRunResponse(parts, { admission: requestAdmission, responses, room, tokens });
 
+    /** Returns the id in a head that has not been checked, for the log; empty without one. */
+    function rawIdOf({ headers }: IncomingMessage): string {
+        return String(headers[headerNames.requestId] ?? "");
+    }
+
     /** Returns the body of a request while it is received; undefined without one. */
     function createSource(incoming: IncomingMessage): BodySource | undefined {
         if (!hasBody(incoming)) {
@@ -98,7 +92,7 @@
         const source = createBodySource(incoming, {
             memory: parts.connections.memoryOf(incoming),
             pacer: parts.pacer,
-            paced: () => log.request(String(incoming.headers[headerNames.requestId] ?? ""), "body_paced", {}),
+            paced: () => log.request(rawIdOf(incoming), "body_paced", {}),
         });
         sources.set(incoming, source);
         return source;
@@ -224,7 +218,7 @@
     /** Logs that a request was not handled because its connection closes before its turn. */
     function logNotHandled(incoming: IncomingMessage): void {
         const event = incoming.socket.destroyed ? "caller_gone" : "ignored_behind_close";
-        log.request(String(incoming.headers[headerNames.requestId] ?? ""), event, {});
+        log.request(rawIdOf(incoming), event, {});
         sources.get(incoming)?.discard();
     }
 
@@ -240,9 +234,12 @@
 
     /** Counts a request and returns its expected work; undefined when it is unknown or not used. */
     function takeWork(admitted: AdmittedRequest): RequestWork | undefined {
+        if (parts.requestWorks === undefined) {
+            return undefined;
+        }
         const worked = workedRequest(admitted);
-        parts.requestWorks?.count(worked);
-        return parts.requestWorks?.of(worked);
+        parts.requestWorks.count(worked);
+        return parts.requestWorks.of(worked);
     }
 
     return (incoming, outgoing) => {
--- a/packages/gateway/src/target-eligibility.ts
+++ b/packages/gateway/src/target-eligibility.ts
@@ -52,8 +52,11 @@
         const restrictions = [route.allowedRegions, organisation?.allowedRegions].filter(list => list !== undefined);
 
         function isInRegion({ domain }: ListedTarget): boolean {
+            if (restrictions.length === 0) {
+                return true;
+            }
             const region = regions.get(domain);
-            return restrictions.every(list => region !== undefined && list.includes(region));
+            return region !== undefined && restrictions.every(list => list.includes(region));
         }
 
         return {
--- a/packages/limits/src/limit-ownership.ts
+++ b/packages/limits/src/limit-ownership.ts
@@ -20,19 +20,19 @@
 /** Difference in age in milliseconds up to which instances count as started together. */
 const simultaneousStartMs = 2_000;
 
-/** Returns for how many milliseconds the oldest of the candidates ran before an instance started. */
-export function startDelayMs(runningSince: number, candidates: readonly OwnerCandidate[]): number {
-    return Math.max(0, runningSince - Math.min(...candidates.map(candidate => candidate.runningSince)));
+/** Returns the time in milliseconds since which the oldest of the candidates runs. */
+function oldestStart(candidates: readonly OwnerCandidate[]): number {
+    return Math.min(...candidates.map(({ runningSince }) => runningSince));
 }
 
-/** Returns the latest time in milliseconds at which an instance started together with the oldest of the candidates. */
-function simultaneousUntil(candidates: readonly OwnerCandidate[]): number {
-    return Math.min(...candidates.map(({ runningSince }) => runningSince)) + simultaneousStartMs;
+/** Returns for how many milliseconds the oldest of the candidates ran before an instance started. */
+export function startDelayMs(runningSince: number, candidates: readonly OwnerCandidate[]): number {
+    return Math.max(0, runningSince - oldestStart(candidates));
 }
 
 /** Returns whether an instance started together with the oldest of the candidates. */
 export function startedTogether(runningSince: number, candidates: readonly OwnerCandidate[]): boolean {
-    return runningSince <= simultaneousUntil(candidates);
+    return startDelayMs(runningSince, candidates) <= simultaneousStartMs;
 }
 
 /**
@@ -41,7 +41,7 @@
  * at once.
  */
 export function rankOwners(name: string, candidates: readonly OwnerCandidate[], now: number): string[] {
-    const latestOwnerStart = Math.max(now - settledAgeMs, simultaneousUntil(candidates));
+    const latestOwnerStart = Math.max(now - settledAgeMs, oldestStart(candidates) + simultaneousStartMs);
     const nameHash = hashText(name);
     return candidates.filter(({ runningSince }) => runningSince <= latestOwnerStart)
         .map(({ address }) => ({ address, score: mixBits(nameHash ^ mixBits(hashText(address))) }))
