--- a/test/gateway/endless-responses.test.ts
+++ b/test/gateway/endless-responses.test.ts
@@ -1,8 +1,8 @@
 import { once } from "node:events";
-import { readFileSync } from "node:fs";
 import { connect } from "node:net";
 import type { Socket } from "node:net";
 import { setTimeout as delay } from "node:timers/promises";
+import { peakMemoryMb } from "../soak/process-state";
 import { startSoakFleet } from "../soak/soak-fleet";
 import type { SoakFleet } from "../soak/soak-fleet";
 import { startScriptedTarget } from "../upstream/scripted-target";
@@ -47,11 +47,6 @@
     socket.destroy();
 }
 
-/** Returns the largest resident memory that a process has had, in megabytes. */
-function peakMemoryMb(pid: number): number {
-    return Number(/VmHWM:\s+(\d+) kB/.exec(readFileSync(`/proc/${pid}/status`, "utf8"))![1]) / 1_024;
-}
-
 const headLines = (id: string) => `HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nResponse-Signature: s\r\n`;
 const chunked = (id: string) => `${headLines(id)}Transfer-Encoding: chunked\r\n\r\n`;
 
--- a/test/gateway/peer-copies.test.ts
+++ b/test/gateway/peer-copies.test.ts
@@ -119,18 +119,23 @@
     });
 });
 
+/** Creates the copies of an instance that exchanges none. */
+function createCopies(copyOf: () => StreamCopy): PeerCopies {
+    return createPeerCopies({
+        clock: createVirtualClock(),
+        log: silentLog(),
+        random: () => 0,
+        client: { fetch: async () => undefined, push: async () => true },
+        copyOf,
+        apply: () => undefined,
+    });
+}
+
 describe("an encoded copy", () => {
     // Guards against serving an old configuration from the cache after a newer one arrived without a change of the offset.
     test("is encoded again when its record has changed", async () => {
         const current = { nextOffset: 7, records: [{ key: "current", value: Buffer.from("old") }], era: 2 };
-        const copies = createPeerCopies({
-            clock: createVirtualClock(),
-            log: silentLog(),
-            random: () => 0,
-            client: { fetch: async () => undefined, push: async () => true },
-            copyOf: () => current,
-            apply: () => undefined,
-        });
+        const copies = createCopies(() => current);
         const first = copies.encodedCopyOf(stream.configuration);
         expect(copies.encodedCopyOf(stream.configuration)).toBe(first);
         current.records = [{ key: "current", value: Buffer.from("new") }];
@@ -140,14 +145,7 @@
     // Guards against a copy from the cache that carries the era before a restore: its receivers would not apply it.
     test("is encoded again when the era has changed", () => {
         const current = { ...copy };
-        const copies = createPeerCopies({
-            clock: createVirtualClock(),
-            log: silentLog(),
-            random: () => 0,
-            client: { fetch: async () => undefined, push: async () => true },
-            copyOf: () => current,
-            apply: () => undefined,
-        });
+        const copies = createCopies(() => current);
         copies.encodedCopyOf(stream.configuration);
         current.era = 3;
         expect(decodeCopy(copies.encodedCopyOf(stream.configuration))!.era).toBe(3);
--- a/test/hostile-clients/bodies.test.ts
+++ b/test/hostile-clients/bodies.test.ts
@@ -1,18 +1,8 @@
 import type { Socket } from "node:net";
-import { headText, maxBodyBytes, startHostileRun, takeTurn, turnTimeoutMs, waitUntil, writeBlocks } from "./fixtures";
-import type { HostileRun, Place } from "./fixtures";
+import { headText, maxBodyBytes, useHostileRun, waitUntil, writeBlocks } from "./fixtures";
+import type { Place } from "./fixtures";
 
-let run: HostileRun;
-let endTurn: () => Promise<void>;
-
-beforeAll(async () => {
-    endTurn = await takeTurn();
-}, turnTimeoutMs);
-afterAll(() => endTurn());
-beforeEach(async () => {
-    run = await startHostileRun();
-});
-afterEach(() => run.close());
+const run = useHostileRun();
 
 const block = Buffer.alloc(65_536, "x");
 const byteChunks = Buffer.from("1\r\nx\r\n".repeat(10_000), "latin1");
--- a/test/hostile-clients/fixtures.ts
+++ b/test/hostile-clients/fixtures.ts
@@ -1,10 +1,11 @@
 import { once } from "node:events";
-import { existsSync, readdirSync, readFileSync } from "node:fs";
+import { existsSync, readdirSync } from "node:fs";
 import { connect, createServer } from "node:net";
 import type { Socket } from "node:net";
 import { join } from "node:path";
 import { setTimeout as delay } from "node:timers/promises";
 import { call } from "../gateway/caller";
+import { peakMemoryMb } from "../soak/process-state";
 import { startSoakFleet } from "../soak/soak-fleet";
 import { startScriptedTarget } from "../upstream/scripted-target";
 
@@ -30,7 +31,7 @@
 const lock = { host: "127.0.3.1", port: 42_611 };
 
 /** Waits until no other test file of this folder runs; resolves to the function that admits the next one. */
-export async function takeTurn(): Promise<() => Promise<void>> {
+async function takeTurn(): Promise<() => Promise<void>> {
     for (;;) {
         const server = createServer();
         const listening = new Promise<boolean>(resolve => {
@@ -49,7 +50,7 @@
 }
 
 /** Time in milliseconds for which a file waits for its turn. */
-export const turnTimeoutMs = 600_000;
+const turnTimeoutMs = 600_000;
 
 /** Address of a listener. */
 export interface Listener {
@@ -112,8 +113,27 @@
     return `${lines.join("\r\n")}\r\n`;
 }
 
+/** Gives each test of a file a gateway process of its own, while no other file of this folder runs. */
+export function useHostileRun(): Omit<HostileRun, "close"> {
+    let run: HostileRun;
+    let endTurn: () => Promise<void>;
+    beforeAll(async () => {
+        endTurn = await takeTurn();
+    }, turnTimeoutMs);
+    afterAll(() => endTurn());
+    beforeEach(async () => {
+        run = await startHostileRun();
+    });
+    afterEach(() => run.close());
+    return {
+        listenerOf: place => run.listenerOf(place),
+        crowd: (place, count, options) => run.crowd(place, count, options),
+        expectSound: () => run.expectSound(),
+    };
+}
+
 /** Starts a gateway process as the deploy file does; its store and target are stand-ins. */
-export async function startHostileRun(): Promise<HostileRun> {
+async function startHostileRun(): Promise<HostileRun> {
     if (!existsSync(program)) {
         throw new Error(`${program} is missing; build it with: node scripts/build.mjs deploy`);
     }
@@ -223,11 +243,6 @@
     }
 }
 
-/** Returns the largest resident memory that a process has had, in megabytes. */
-function peakMemoryMb(pid: number): number {
-    return Number(/VmHWM:\s+(\d+) kB/.exec(readFileSync(`/proc/${pid}/status`, "utf8"))![1]) / 1_024;
-}
-
 /** Writes blocks until the connection is closed or `total` bytes have been written. */
 export function writeBlocks(socket: Socket, block: Buffer, total: number): void {
     let written = 0;
--- a/test/hostile-clients/heads.test.ts
+++ b/test/hostile-clients/heads.test.ts
@@ -1,17 +1,6 @@
-import { headText, places, startHostileRun, takeTurn, turnTimeoutMs } from "./fixtures";
-import type { HostileRun } from "./fixtures";
+import { headText, places, useHostileRun } from "./fixtures";
 
-let run: HostileRun;
-let endTurn: () => Promise<void>;
-
-beforeAll(async () => {
-    endTurn = await takeTurn();
-}, turnTimeoutMs);
-afterAll(() => endTurn());
-beforeEach(async () => {
-    run = await startHostileRun();
-});
-afterEach(() => run.close());
+const run = useHostileRun();
 
 /** Fields of one letter without a value, as many as a head of legal size has room for. */
 const shortFields = "a:\r\n".repeat(3_200);
--- a/test/hostile-clients/instances.test.ts
+++ b/test/hostile-clients/instances.test.ts
@@ -1,18 +1,7 @@
 import { connect } from "node:net";
-import { headText, startHostileRun, takeTurn, turnTimeoutMs, waitUntil, writeBlocks } from "./fixtures";
-import type { HostileRun } from "./fixtures";
+import { headText, useHostileRun, waitUntil, writeBlocks } from "./fixtures";
 
-let run: HostileRun;
-let endTurn: () => Promise<void>;
-
-beforeAll(async () => {
-    endTurn = await takeTurn();
-}, turnTimeoutMs);
-afterAll(() => endTurn());
-beforeEach(async () => {
-    run = await startHostileRun();
-});
-afterEach(() => run.close());
+const run = useHostileRun();
 
 const block = Buffer.alloc(65_536, "x");
 const copyBytes = 8 * 1024 * 1024;
--- a/test/hostile-clients/pipelining.test.ts
+++ b/test/hostile-clients/pipelining.test.ts
@@ -1,17 +1,6 @@
-import { headText, places, startHostileRun, takeTurn, turnTimeoutMs } from "./fixtures";
-import type { HostileRun } from "./fixtures";
+import { headText, places, useHostileRun } from "./fixtures";
 
-let run: HostileRun;
-let endTurn: () => Promise<void>;
-
-beforeAll(async () => {
-    endTurn = await takeTurn();
-}, turnTimeoutMs);
-afterAll(() => endTurn());
-beforeEach(async () => {
-    run = await startHostileRun();
-});
-afterEach(() => run.close());
+const run = useHostileRun();
 
 const clients = 80;
 const requests = 300;
--- a/test/hostile-clients/slow-clients.test.ts
+++ b/test/hostile-clients/slow-clients.test.ts
@@ -1,18 +1,8 @@
 import type { Socket } from "node:net";
-import { headText, places, startHostileRun, takeTurn, turnTimeoutMs } from "./fixtures";
-import type { HostileRun, Place } from "./fixtures";
+import { headText, places, useHostileRun } from "./fixtures";
+import type { Place } from "./fixtures";
 
-let run: HostileRun;
-let endTurn: () => Promise<void>;
-
-beforeAll(async () => {
-    endTurn = await takeTurn();
-}, turnTimeoutMs);
-afterAll(() => endTurn());
-beforeEach(async () => {
-    run = await startHostileRun();
-});
-afterEach(() => run.close());
+const run = useHostileRun();
 
 const clients = 600;
 
--- a/test/placement/connection-simulation.ts
+++ b/test/placement/connection-simulation.ts
@@ -1,6 +1,6 @@
 import { chooseProbe, chooseTarget, maxUnrankedTargets, outcome } from "@trefoilladder/placement";
 import type { Outcome } from "@trefoilladder/placement";
-import type { ListedTarget, TargetDirectory } from "@trefoilladder/replication";
+import type { TargetDirectory } from "@trefoilladder/replication";
 import { createIdleLimits } from "../../packages/gateway/src/idle-limits";
 import { createTargetSets } from "../../packages/gateway/src/target-sets";
 import { createTargetTracker } from "../../packages/gateway/src/target-tracker";
@@ -9,6 +9,7 @@
 import { createSimulatedDigests } from "../recovery/simulated-digests";
 import { createSimulatedTarget } from "../recovery/simulated-target";
 import { silentLog } from "../replication/silent-log";
+import { listTargets } from "./listed-targets";
 import { createSimulatedPool } from "./simulated-pool";
 
 /** Load of one service from a large fleet, each instance of which sends few requests. */
@@ -61,29 +62,13 @@
 const warmUpMs = 3_000;
 const coverageIntervalMs = 2_000;
 
-function listTargets(load: ConnectionLoad): ListedTarget[] {
-    return Array.from({ length: load.targets }, (_, index) => ({
-        id: `target-${index}`,
-        service,
-        address: "127.0.0.1",
-        port: index + 1,
-        domain: String(index % load.domains),
-        slots: load.slots,
-        draining: false,
-        coldMs: 0,
-        coldUntil: 0,
-        startedAt: 0,
-        sequence: 1,
-    }));
-}
-
 /** Simulates the choices of all instances with their estimates, digests and pools of connections. */
 export function simulateConnections(load: ConnectionLoad): ConnectionResult {
     const source = createRandomSource(load.seed);
     const random = () => source.next();
     const queue = createEventQueue();
     const now = () => queue.now;
-    const all = listTargets(load);
+    const all = listTargets({ ...load, service, idPrefix: "target-" });
     const indexById = new Map(all.map(({ id }, index) => [id, index]));
     const failingShare = (target: number) => load.failingShare?.(target, now()) ?? 0;
     const isListed = (target: number) => load.isListed?.(target, now()) ?? true;
--- a/test/placement/work-simulation.ts
+++ b/test/placement/work-simulation.ts
@@ -1,6 +1,6 @@
 import type { TargetDigest } from "@trefoilladder/mesh";
 import { chooseTarget, createLatencyProfile, outcome, retryAfterSeconds } from "@trefoilladder/placement";
-import type { ListedTarget, TargetDirectory } from "@trefoilladder/replication";
+import type { TargetDirectory } from "@trefoilladder/replication";
 import { admitLoad } from "../../packages/gateway/src/admission";
 import { createRequestWorks } from "../../packages/gateway/src/request-works";
 import { createTargetTracker } from "../../packages/gateway/src/target-tracker";
@@ -9,6 +9,7 @@
 import { createEventQueue } from "../recovery/event-queue";
 import { createSimulatedTarget } from "../recovery/simulated-target";
 import { silentLog } from "../replication/silent-log";
+import { listTargets } from "./listed-targets";
 
 /** Requests of one route. */
 export interface WorkClass {
@@ -99,22 +100,6 @@
 const digestIntervalMs = 536;
 const minDigestDelayMs = 90;
 
-function listTargets({ targets, slots }: WorkLoad): ListedTarget[] {
-    return Array.from({ length: targets }, (_, index) => ({
-        id: `t${index}`,
-        service,
-        address: "127.0.0.1",
-        port: index + 1,
-        domain: String(index % domains),
-        slots,
-        draining: false,
-        coldMs: 0,
-        coldUntil: 0,
-        startedAt: 0,
-        sequence: 1,
-    }));
-}
-
 /**
  * Simulates instances that choose targets by the reports in digests; a request has at most two attempts, and callers
  * return up to three times after a refusal. The instances of a failure domain
@@ -127,7 +112,7 @@
     const queue = createEventQueue();
     const now = () => queue.now;
     const { schedule } = queue;
-    const listed = listTargets(load);
+    const listed = listTargets({ ...load, service, domains, idPrefix: "t" });
     const targets = listed.map(() => createSimulatedTarget({ ...load, now, schedule, fails: () => false }));
     const indexById = new Map(listed.map(({ id }, index) => [id, index]));
     const directory = {
--- a/test/soak/process-state.ts
+++ b/test/soak/process-state.ts
@@ -16,6 +16,11 @@
     }
 }
 
+/** Returns the largest resident memory that a process has had, in megabytes. */
+export function peakMemoryMb(pid: number): number {
+    return Number(/VmHWM:\s+(\d+) kB/.exec(readFileSync(`/proc/${pid}/status`, "utf8"))![1]) / 1_024;
+}
+
 function describeThread(directory: string): string {
     const read = (name: string) => readFileSync(`${directory}/${name}`, "utf8").trim();
     const state = statePattern.exec(read("stat"))?.[1];
