--- a/review/common-2/bed.mjs
+++ b/review/common-2/bed.mjs
@@ -151,6 +151,23 @@
     return Buffer.from(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\n${lines.join("\r\n")}\r\n\r\n${text}`, "latin1");
 }
 
+/** Number of pieces of a body that is sent over a time. */
+const bodyPieces = 20;
+
+/** Sends a body in pieces over a time and ends the answer. */
+async function sendOver(outgoing, body, ms) {
+    if (ms === 0) {
+        outgoing.end(body);
+        return;
+    }
+    const pieceBytes = Math.ceil(body.length / bodyPieces);
+    for (let start = 0; start < body.length && !outgoing.destroyed; start += pieceBytes) {
+        outgoing.write(body.subarray(start, start + pieceBytes));
+        await sleep(ms / bodyPieces);
+    }
+    outgoing.end();
+}
+
 /**
  * Starts a stand-in of an upstream: some slots and a queue; a request beyond them is rejected as not run.
  *
@@ -158,9 +175,11 @@
  * - `ran` is called with the id of each request that begins to run.
  * - `lateBytes` returns bytes that follow an answer late, at the point where the next answer on the channel is expected.
  * - `isUnframed` returns whether an answer has no length and ends with its channel.
+ * - `bodyOf` returns the body of the answer to a request, which is sent over `bodyMs`; by default a short one is sent at once.
  */
 export async function startUpstream(address, options) {
-    const { id, slots = 6, queue = 24, workMs, record, ran, fails, lateBytes, isUnframed } = options;
+    const { id, slots = 6, queue = 24, workMs, record, ran, fails, lateBytes, isUnframed, bodyOf, bodyMs = 0 } =
+        options;
     let running = 0;
     const queued = [];
     const extraBytes = new WeakMap();
@@ -184,7 +203,7 @@
         if (isUnframed?.(id) === true) {
             record.note(`the answer to ${request} has no length`);
             outgoing.useChunkedEncodingByDefault = false;
-            outgoing.writeHead(status, { ...headers, Connection: "close" }).end(text);
+            void sendOver(outgoing.writeHead(status, { ...headers, Connection: "close" }), text, bodyMs);
             return;
         }
         const framed = { ...headers, "Content-Length": text.length };
@@ -192,7 +211,7 @@
         if (late !== undefined) {
             extraBytes.set(socket, late);
         }
-        outgoing.writeHead(status, framed).end(text);
+        void sendOver(outgoing.writeHead(status, framed), text, bodyMs);
     }
 
     function loadOf() {
@@ -222,7 +241,7 @@
         const timer = setTimeout(() => {
             const status = fails?.(request) === true ? 500 : 200;
             const headers = { "Request-Id": request, "Response-Signature": `${id}.${request}`, ...loadOf() };
-            answer(exchange, status, headers, `body of ${request} ${body.length}`);
+            answer(exchange, status, headers, bodyOf?.(request) ?? `body of ${request} ${body.length}`);
             end();
         }, workMs(incoming));
         socket.once("close", end);
