--- a/review/common-2/bed.mjs
+++ b/review/common-2/bed.mjs
@@ -247,7 +247,7 @@
         socket.once("close", end);
     }
 
-    const server = createServer((incoming, outgoing) => {
+    const server = createServer({ maxHeaderSize: 64 * 1024 }, (incoming, outgoing) => {
         void (async () => {
             const exchange = { incoming, outgoing, body: await readAll(incoming) };
             const request = incoming.headers["request-id"];
@@ -264,6 +264,7 @@
         })().catch(() => undefined);
     });
     server.keepAliveTimeout = 10_000;
+    server.maxHeadersCount = 0;
     server.listen(0, address);
     await once(server, "listening");
     return {
@@ -548,7 +549,7 @@
             return isClosed;
         },
         /** Sends a request; resolves with its answer, whose status is 0 when the channel closed without one. */
-        send({ id, method = "GET", path, host, key, deadlineMs, body }) {
+        send({ id, method = "GET", path, host, key, deadlineMs, body, fields = [] }) {
             const lines = [
                 `${method} ${path} HTTP/1.1`,
                 `Host: ${host}`,
@@ -558,6 +559,7 @@
             if (key !== undefined) {
                 lines.push(`Authorization: Bearer ${key}`);
             }
+            lines.push(...fields);
             if (body !== undefined) {
                 lines.push(`Content-Length: ${body.length}`);
             }
