--- a/review/common-2/bed.mjs
+++ b/review/common-2/bed.mjs
@@ -409,6 +409,9 @@
         return child;
     }
 
+    // Also when the case is ended from outside or fails, no process stays behind.
+    process.on("exit", () => children.forEach(child => child.kill("SIGKILL")));
+
     let closed = false;
     return {
         machines,
@@ -644,6 +647,13 @@
         process.exit(result);
     }
 
+    for (const event of ["SIGTERM", "SIGINT", "uncaughtException"]) {
+        process.on(event, error => {
+            record.note(`the case was ended: ${error?.stack ?? event}`);
+            record.save();
+            process.exit(exitCode.notRun);
+        });
+    }
     try {
         code = await play({ record, onClose: close => closers.push(close) });
     }
