Take only IPv4 addresses for registered instances

Cause: an entry of another writer in the stream of the instances counted as an address when it had only digits and dots, "1.2.3" or "....". The mesh then probed it, with a look-up by name for each datagram, and counted it as an instance out of contact, which lowers the shares of the limits.

Change: the value has to be an IPv4 address, as for targets.

Evidence: test/gateway/registration.test.ts, "takes only IPv4 addresses for instances", fails before the change.

--- a/packages/gateway/src/registration.ts
+++ b/packages/gateway/src/registration.ts
@@ -11,6 +11,7 @@
 import { stream, unknownEra } from "@trefoilladder/replication";
 import type { RecordStore, StoreEra } from "@trefoilladder/replication";
 import type { DecisionLog } from "@trefoilladder/telemetry";
+import { isIPv4 } from "node:net";
 
 /**
  * Time in milliseconds in which a starting instance discovers the others through its seeds. Without seeds it knows no other
@@ -80,7 +81,7 @@
         const listed = registeredEra === undefined ? undefined : await store.newest(stream.instances, signal);
         if (registeredEra !== undefined && listed?.isOk() === true) {
             const addresses = listed.value.records.map(({ value }) => value?.toString() ?? "");
-            addresses.filter(address => /^[\d.]+$/.test(address)).forEach(parts.addPeer);
+            addresses.filter(isIPv4).forEach(parts.addPeer);
             log.lifecycle("registered", { instances: addresses.length, failures, era: registeredEra });
             return registeredEra;
         }
--- a/test/gateway/registration.test.ts
+++ b/test/gateway/registration.test.ts
@@ -31,6 +31,9 @@
         addedPeers,
         store,
         era,
+        /** Writes the entry of an instance with the bytes of an address. */
+        putAddress: (key: string, address: string) =>
+            store.view().put("instances", { key, value: Buffer.from(address) }, stopping.signal),
         async registered() {
             const { records } = (await store.view().newest("instances", stopping.signal))._unsafeUnwrap();
             return records.map(({ key }) => key);
@@ -113,4 +116,16 @@
         expect(registration.events).toEqual(["registered"]);
         await registration.stop();
     });
+
+    // Guards against an entry of another writer that is taken for an instance: its address would be looked up by name.
+    test("takes only IPv4 addresses for instances", async () => {
+        const registration = startRegistration({ hasSeeds: false, isDue: () => true });
+        for (const odd of ["1.2.3", "999.1.1.1", "10.1.0.256", "....", "", "10.1.0.7:80"]) {
+            await registration.putAddress(`odd ${odd}`, odd);
+        }
+        await registration.putAddress("entry-2", "10.1.0.2");
+        await registration.advance(200);
+        expect(registration.addedPeers.toSorted()).toEqual(["10.1.0.1", "10.1.0.2"]);
+        await registration.stop();
+    });
 });
