Survive rejected calls to the store and records that cannot be handled

Cause: the followers and the registration expect a Result from the store and from the decoders.

Change: the client of the store is wrapped once, so that a call that throws or rejects is a failure that is tried again. Records of targets and configurations are applied one by one; one whose handler throws is logged (record_not_applied) and skipped.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,7 +7,7 @@
 import { createMesh, splitAddress } from "@trefoilladder/mesh";
 import type { Digest, Peer } from "@trefoilladder/mesh";
 import { maxUnrankedTargets } from "@trefoilladder/placement";
-import { createTargetDirectory } from "@trefoilladder/replication";
+import { createSettledStore, createTargetDirectory } from "@trefoilladder/replication";
 import { createDecisionLog } from "@trefoilladder/telemetry";
 import { createConnectionPool } from "@trefoilladder/upstream";
 import type { Result } from "neverthrow";
@@ -85,6 +85,7 @@
     const log = createDecisionLog({ instance: settings.instance, level: settings.logLevel });
     let inForce = settings;
     let stopTimes: StopTimes | undefined;
+    const store = createSettledStore(platform.store);
     const budget = createMemoryBudget(budgetBytes(settings.memoryMb ?? defaultMemoryMb));
     const descriptors = divideDescriptors(settings.maxDescriptors ?? defaultMaxDescriptors);
     const connections = createCallerConnections({
@@ -184,7 +185,7 @@
         ended: domain => directory.endEvacuation(domain, coldStartMsOf),
     });
     const streams = createStoreStreams({
-        platform,
+        platform: { ...platform, store },
         settings,
         clock,
         log,
@@ -344,7 +345,7 @@
     const tasks = [
         streams.run(stopping.signal),
         registerInstance({
-            store: platform.store,
+            store,
             clock,
             log,
             random,
@@ -376,7 +377,7 @@
             server.closeAllConnections();
         }
         pool.close();
-        platform.store.close();
+        store.close();
         await Promise.race([log.flush(), clock.sleep(maxFlushMs)]);
     }
 
--- a/packages/gateway/src/store-streams.ts
+++ b/packages/gateway/src/store-streams.ts
@@ -6,6 +6,7 @@
 import type { Digest, Mesh, Peer, PushedRecords } from "@trefoilladder/mesh";
 import { splitAddress } from "@trefoilladder/mesh";
 import {
+    applyEach,
     chooseReaderRole,
     createEraSettlement,
     createStoreEra,
@@ -101,8 +102,8 @@
     const evacuationSettlement = createEraSettlement({ now: () => clock.now(), era });
 
     function applyConfiguration(records: readonly KeyedRecord[], source: string): void {
-        records.filter(({ key }) => key === platform.configurationKey)
-            .forEach(record => configuration.apply(record, source));
+        const configurations = records.filter(({ key }) => key === platform.configurationKey);
+        applyEach(configurations, log, record => configuration.apply(record, source));
     }
 
     const followerOptions = {
--- a/packages/gateway/src/target-records.ts
+++ b/packages/gateway/src/target-records.ts
@@ -1,4 +1,5 @@
 import type { Failure } from "@trefoilladder/failures";
+import { applyEach } from "@trefoilladder/replication";
 import type { KeyedRecord, TargetDirectory } from "@trefoilladder/replication";
 import type { TargetRecord } from "@trefoilladder/serving";
 import type { DecisionLog } from "@trefoilladder/telemetry";
@@ -44,7 +45,7 @@
 
     return {
         apply(records, isSnapshot) {
-            records.forEach(applyRecord);
+            applyEach(records, log, applyRecord);
             if (isSnapshot) {
                 retain(new Set(records.filter(({ value }) => value !== undefined).map(({ key }) => key)));
             }
--- a/packages/replication/src/index.ts
+++ b/packages/replication/src/index.ts
@@ -1,8 +1,10 @@
+export { applyEach } from "./apply-each";
 export { createEraSettlement, eraSettleMs } from "./era-settlement";
 export type { EraSettlement } from "./era-settlement";
 export type { Incarnation } from "./incarnation-reports";
 export { StoreFailure, storeProblem, stream } from "./record-store";
 export type { Acknowledgement, KeyedRecord, RecordBatch, RecordStore, Stream } from "./record-store";
+export { createSettledStore } from "./settled-store";
 export { createStoreEra, unknownEra } from "./store-era";
 export type { StoreEra } from "./store-era";
 export { createStoreOutage, expiryGraceUntil } from "./store-outage";
--- a/test/gateway/target-records.test.ts
+++ b/test/gateway/target-records.test.ts
@@ -17,7 +17,7 @@
     return { key: record.id, value: Buffer.from(JSON.stringify(record)) };
 }
 
-describe("the copy of the target records for other instances", () => {
+describe("the target records and their copy for other instances", () => {
     // Guards against a starting instance that receives a leaving target as ready, because an older record arrived late at the
     // instance that it fetched the copy from.
     test("keeps the newest record of a target when an older one arrives late", () => {
@@ -39,4 +39,12 @@
         records.apply([encode(targetRecord(0, 80, { sequence: 4 }))], false);
         expect(records.all()).toEqual([]);
     });
+
+    // Guards against one record that keeps the others of its batch from being applied, and ends the process.
+    test("applies the other records of a batch when decoding one throws", () => {
+        const { directory, records } = createRecords();
+        const odd = { key: "odd", value: Buffer.from("{") };
+        records.apply([encode(targetRecord(0, 80)), odd, encode(targetRecord(1, 81))], true);
+        expect(directory.serving("dossier").map(({ id }) => id)).toEqual(["target-0", "target-1"]);
+    });
 });
