Send bodies without a length in chunks

Cause: such a body was relayed as its target framed it, up to the end of the connection. The system closes the connections of a killed process in order, so that the part looks complete. The framing had been kept because trials showed cut bodies that end without a reset; these were resets that Node.js reports as ends, recognised since.

Change: chunks, or the length when the whole body was buffered; the caller's connection is kept. Callers of HTTP/1.0 get it up to the end of the connection, as before.

Tests: test/gateway/killed-process.test.ts ("without a length") fails before the change with complete: true. The test "receives a body without a length as the target sent it" asserted the old framing; its purpose, that no part is relayed with a length as if it were complete, is now checked with resets ("never receives a part of a body without a length whose connection was reset"), beside new checks of the framing, of HEAD and of HTTP/1.0.

--- a/packages/gateway/src/caller-responses.ts
+++ b/packages/gateway/src/caller-responses.ts
@@ -35,7 +35,7 @@
 /** Responses to callers. */
 export interface CallerResponses {
     /** Returns whether the response to a request closes its connection; no further request on it is accepted then. */
-    closesConnection(incoming: IncomingMessage, mustClose: boolean): boolean;
+    closesConnection(incoming: IncomingMessage, mustClose?: boolean): boolean;
     /** Logs, counts and sends the refusal of the request with this id. */
     refuse(incoming: IncomingMessage, outgoing: ServerResponse, id: string, refused: Refusal): void;
     /** Reads the rest of a body that is of no use any more up to a bound, so that the connection can be kept. */
@@ -48,7 +48,7 @@
 export function createCallerResponses(parts: CallerResponseParts): CallerResponses {
     const { headerNames, log, now } = parts;
 
-    function closesConnection(incoming: IncomingMessage, mustClose: boolean): boolean {
+    function closesConnection(incoming: IncomingMessage, mustClose = false): boolean {
         // The responses to requests behind this one have to be sent before.
         const isLastOfStop = parts.stopTimes() !== undefined && !parts.connections.hasLaterRequest(incoming);
         const closes = mustClose || isLastOfStop || parts.connections.isLastAccepted(incoming);
--- a/packages/gateway/src/response-relay.ts
+++ b/packages/gateway/src/response-relay.ts
@@ -15,18 +15,17 @@
     unsent(bytes: number): void;
 }
 
-/** Sends the head of a response; `length` is the length of its body, if it is known. */
+/**
+ * Sends the head of a response; `length` is the length of its body, if it is known. Without one the body is sent in chunks: if it
+ * ended with the connection, a part of it would look complete when the process is killed, since the system closes the connection.
+ */
 function beginResponse(
     outgoing: ServerResponse,
     head: ResponseHead,
     { length, close }: { length: number | undefined; close: boolean; },
 ): void {
     const headers = endToEndHeaders(head);
-    if (head.isCloseDelimited) {
-        // A body that ends with its connection may be incomplete, so the caller gets it with the same framing.
-        outgoing.useChunkedEncodingByDefault = false;
-    }
-    else if (length !== undefined) {
+    if (length !== undefined) {
         headers.push("Content-Length", String(length));
     }
     if (close) {
@@ -37,7 +36,7 @@
 
 /**
  * Ends a response before its body is complete. The close of the connection would complete a body that has neither a length nor
- * chunks, so the connection is reset.
+ * chunks, as callers of HTTP/1.0 receive it, so the connection is reset.
  */
 export function breakOffResponse(outgoing: ServerResponse): void {
     const endsWithConnection = outgoing.headersSent && !outgoing.useChunkedEncodingByDefault;
--- a/packages/gateway/src/run-response.ts
+++ b/packages/gateway/src/run-response.ts
@@ -77,7 +77,7 @@
         const { response } = result;
         if (response !== undefined && !result.notRun && !impliesNotRun(response.head.status)) {
             state.recordRequest(false);
-            const close = responses.closesConnection(incoming, response.head.isCloseDelimited);
+            const close = responses.closesConnection(incoming);
             responses.charge(incoming, outgoing, memoryUse.response, response.body.length);
             sendResponse(outgoing, { head: response.head, body: response.body }, close);
             log.request(admitted.request.id, "target_error_relayed", summary(admitted, run, response.head.status));
@@ -152,7 +152,7 @@
         if (result.head.status < 300) {
             profile.latency.record(ms);
         }
-        const close = responses.closesConnection(incoming, result.head.isCloseDelimited);
+        const close = responses.closesConnection(incoming);
         if (result.kind === "complete") {
             profile.recordSize(result.body.length);
             responses.charge(incoming, outgoing, memoryUse.response, result.body.length);
