Close the connection of an HTTP/1.0 caller behind a streamed body

Cause: since bodies without a length are sent in chunks, a response no longer announced that it closes the connection. For a caller of HTTP/1.0, which knows no chunks, a streamed body still ends with the connection, so that requests behind it must not be accepted.

Change: such a response closes its connection as before. The test "requests that wait behind a response that closes the connection are not run" took a body without a length for its closing response, and failed since; it keeps its assertions and now uses a caller of HTTP/1.0 and a streamed body.

--- a/packages/gateway/src/response-relay.ts
+++ b/packages/gateway/src/response-relay.ts
@@ -34,13 +34,20 @@
     outgoing.writeHead(head.status, head.reason, headers);
 }
 
+/**
+ * Returns whether the body of a response can only end with the connection: its length is unknown, and the caller knows no chunks, since
+ * its request is of HTTP/1.0.
+ */
+export function endsWithConnection(outgoing: ServerResponse, length: number | undefined): boolean {
+    return length === undefined && !outgoing.useChunkedEncodingByDefault;
+}
+
 /**
  * Ends a response before its body is complete. The close of the connection would complete a body that has neither a length nor
  * chunks, as callers of HTTP/1.0 receive it, so the connection is reset.
  */
 export function breakOffResponse(outgoing: ServerResponse): void {
-    const endsWithConnection = outgoing.headersSent && !outgoing.useChunkedEncodingByDefault;
-    if (endsWithConnection) {
+    if (outgoing.headersSent && !outgoing.useChunkedEncodingByDefault) {
         outgoing.socket?.resetAndDestroy();
     }
     outgoing.destroy();
--- a/packages/gateway/src/run-response.ts
+++ b/packages/gateway/src/run-response.ts
@@ -20,7 +20,7 @@
 import type { RequestAdmission } from "./request-admission";
 import type { RequestRoom } from "./request-room";
 import { impliesNotRun } from "./response-check";
-import { breakOffResponse, sendResponse, streamResponse } from "./response-relay";
+import { breakOffResponse, endsWithConnection, sendResponse, streamResponse } from "./response-relay";
 import type { createRouteProfiles } from "./route-profile";
 import type { ServiceState } from "./service-states";
 
@@ -152,14 +152,15 @@
         if (result.head.status < 300) {
             profile.latency.record(ms);
         }
-        const close = responses.closesConnection(incoming);
         if (result.kind === "complete") {
+            const close = responses.closesConnection(incoming);
             profile.recordSize(result.body.length);
             responses.charge(incoming, outgoing, memoryUse.response, result.body.length);
             sendResponse(outgoing, result, close);
             recordSuccess(admitted, run, result.head);
             return;
         }
+        const close = responses.closesConnection(incoming, endsWithConnection(outgoing, result.head.bodyLength));
         const remainingMs = admitted.arrivedAt + admitted.request.deadlineMs - now();
         const aborted = () => {
             log.request(admitted.request.id, "response_broken_off", summary(admitted, run, result.head.status));
