Let no record of an unknown service replace a target

Cause: of the targets at one address the directory used the one that started last, whatever its service. The same held for records under one id: an odd record with a later start or a higher sequence replaced a target's own, and later ones of the target were ignored as older.

Change: only targets of services that the configuration names replace others at their address, and records of such a service go before others under the same id. All services count before the first configuration; a change of the configuration is taken into account at once. Entries whose service is named later take their address over as before.

Tests, which fail before the change: five in test/replication/target-directory, "serves requests beside records of an unknown service at the address and under the key of its target" in test/gateway/odd-records.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -107,6 +107,7 @@
         clock,
         log,
         expiryGraceUntil: () => streams.expiryGraceUntil(),
+        isKnownService: service => configuration.current()?.serviceNames.has(service) ?? true,
         removed(id) {
             pool.closeIdleConnections(id);
             targetTracker.remove(id);
@@ -175,6 +176,7 @@
             rateLimits.configure(organisations);
             callers.configure(callerLimits);
             profiles.retain(routes);
+            directory.handleServicesChange();
         },
     });
     const coldStartMsOf = (service: string) => configuration.current()?.services.get(service)?.coldStartMs ?? 0;
--- a/packages/replication/src/target-directory.ts
+++ b/packages/replication/src/target-directory.ts
@@ -26,6 +26,8 @@
     markLeaving(target: Incarnation): void;
     /** Records that an incarnation accepts no requests from this instance for a time in milliseconds. */
     markThrottling(target: Incarnation, forMs: number): void;
+    /** Handles a change of the services for which `isKnownService` returns true. */
+    handleServicesChange(): void;
     /** Excludes the targets of a failure domain. */
     beginEvacuation(domain: string): void;
     /**
@@ -59,12 +61,21 @@
  */
 const recordDelayMs = 2_000;
 
+function addressOf({ address, port }: TargetRecord): string {
+    return `${address}:${port}`;
+}
+
 /** Options of a directory. */
 export interface TargetDirectoryOptions {
     clock: Clock;
     log: DecisionLog;
     /** Returns the monotonic time in milliseconds until which records that expired in an outage of the store may be renewed. */
     expiryGraceUntil(): number;
+    /**
+     * Returns whether the configuration names a service; true for all services before the first configuration. Records of other
+     * services, which another writer may have left, replace no target of a known one.
+     */
+    isKnownService(service: string): boolean;
     /** Called with the id of each target that was removed or replaced by a new incarnation. */
     removed(id: string): void;
     /** Called with the id of each target that receives no further requests and may still process earlier ones. */
@@ -91,10 +102,16 @@
             || record.startedAt === known.startedAt && record.sequence < known.sequence;
     }
 
+    /** Returns whether a known record goes before another one of the same target. */
+    function isSuperseded(record: TargetRecord, known: TargetRecord): boolean {
+        const isKnown = options.isKnownService(known.service);
+        return isKnown === options.isKnownService(record.service) ? isOlder(record, known) : isKnown;
+    }
+
     function wasDropped(record: TargetRecord): boolean {
         const last = dropped.get(record.id);
         return last !== undefined
-            && (isOlder(record, last) || record.startedAt === last.startedAt && record.sequence === last.sequence);
+            && (isSuperseded(record, last) || record.startedAt === last.startedAt && record.sequence === last.sequence);
     }
 
     function addDropped(target: TargetRecord): void {
@@ -106,23 +123,23 @@
         }
     }
 
-    /** Returns the target that started last at each address; it has replaced the earlier ones there. */
-    function newestByAddress(): Map<string, ListedTarget> {
-        const newest = new Map<string, ListedTarget>();
+    /** Returns the time at which the target of a known service that started last at each address did; it has replaced the others. */
+    function lastStartByAddress(): Map<string, number> {
+        const lastStarts = new Map<string, number>();
         for (const target of targets.values()) {
-            const key = `${target.address}:${target.port}`;
-            if (target.startedAt >= (newest.get(key)?.startedAt ?? -Infinity)) {
-                newest.set(key, target);
+            if (options.isKnownService(target.service)) {
+                const key = addressOf(target);
+                lastStarts.set(key, Math.max(lastStarts.get(key) ?? -Infinity, target.startedAt));
             }
         }
-        return newest;
+        return lastStarts;
     }
 
     function groupByService(): Map<string, ListedTarget[]> {
-        const newest = newestByAddress();
+        const lastStarts = lastStartByAddress();
         const lists = new Map<string, ListedTarget[]>();
         for (const target of targets.values()) {
-            const isReplaced = newest.get(`${target.address}:${target.port}`)!.startedAt > target.startedAt;
+            const isReplaced = target.startedAt < (lastStarts.get(addressOf(target)) ?? -Infinity);
             if (target.draining || reports.isLeaving(target) || isReplaced || evacuated.has(target.domain)) {
                 continue;
             }
@@ -199,8 +216,9 @@
     return {
         put(record) {
             const known = targets.get(record.id);
-            if (known !== undefined && isOlder(record, known) || wasDropped(record)) {
-                log.stateChange("older_record_ignored", { target: record.id, sequence: record.sequence });
+            if (known !== undefined && isSuperseded(record, known) || wasDropped(record)) {
+                const { id, service, sequence } = record;
+                log.stateChange("superseded_record_ignored", { target: id, service, sequence });
                 return false;
             }
             expiredAt.delete(record.id);
@@ -241,6 +259,9 @@
             options.leaving(target.id);
             availableByService = undefined;
         },
+        handleServicesChange() {
+            availableByService = undefined;
+        },
         beginEvacuation(domain) {
             evacuated.add(domain);
             availableByService = undefined;
--- a/packages/serving/src/configuration-index.ts
+++ b/packages/serving/src/configuration-index.ts
@@ -11,6 +11,8 @@
     organisations: ReadonlyMap<string, Organisation>;
     /** Services by name. */
     services: ReadonlyMap<string, Service>;
+    /** Names of all services, those that only a route names included. */
+    serviceNames: ReadonlySet<string>;
 }
 
 /** Returns every prefix of a path that ends with a slash, longest first. */
@@ -59,5 +61,9 @@
         findOrganisation: key => byKey.get(key),
         organisations: new Map(configuration.organisations.map(organisation => [organisation.name, organisation])),
         services: new Map(configuration.services.map(service => [service.name, service])),
+        serviceNames: new Set([
+            ...configuration.services.map(({ name }) => name),
+            ...configuration.routes.flatMap(({ services }) => services.map(({ service }) => service)),
+        ]),
     };
 }
--- a/test/gateway/odd-records.test.ts
+++ b/test/gateway/odd-records.test.ts
@@ -1,6 +1,6 @@
 import { stream } from "@trefoilladder/replication";
 import { call, waitUntil } from "./caller";
-import { startFleet } from "./fixtures";
+import { startFleet, targetRecord } from "./fixtures";
 import type { Fleet, Responder } from "./fixtures";
 
 let fleet: Fleet;
@@ -43,4 +43,23 @@
         await waitUntil(async () => (await call(fleet.callers[0]!)).status === 503);
         expect((await call(fleet.callers[0]!, { path: "/none/" })).status).toBe(404);
     });
+
+    // Guards against requests that are refused because records of a service without a configuration have the addresses of ready targets
+    // (review/10), or their keys, also at an instance that starts later.
+    test("serves requests beside records of an unknown service at the address and under the key of its target", async () => {
+        fleet = await startFleet({ responders: [success, success, success] });
+        await waitUntil(isServed);
+        const { store, targets } = fleet;
+        const odd = { service: "survey", startedAt: 9_000 };
+        store.put(stream.targets, "survey-1", targetRecord(7, targets[0]!.port, { id: "survey-1", ...odd }));
+        store.put(stream.targets, "target-1", targetRecord(1, targets[1]!.port, { sequence: 90, ...odd }));
+        // Shows when the records before it have been applied.
+        store.put(stream.targets, "late", targetRecord(2, targets[2]!.port, { id: "late", startedAt: 9_000 }));
+        await waitUntil(async () => await isServed() && targets[2]!.requests.at(-1)?.includes("late") === true);
+        const countsBefore = targets.map(({ requests }) => requests.length);
+        await waitUntil(async () => {
+            expect(await isServed()).toBe(true);
+            return targets.every(({ requests }, index) => requests.length > countsBefore[index]! + 5);
+        });
+    });
 });
--- a/test/replication/create-test-directory.ts
+++ b/test/replication/create-test-directory.ts
@@ -9,6 +9,7 @@
         clock: createVirtualClock(),
         log: silentLog(),
         expiryGraceUntil: () => -Infinity,
+        isKnownService: () => true,
         removed: () => undefined,
         leaving: () => undefined,
         ...options,
--- a/test/replication/target-directory.test.ts
+++ b/test/replication/target-directory.test.ts
@@ -2,7 +2,7 @@
 import { targetRecord } from "../gateway/fixtures";
 import { createTestDirectory } from "./create-test-directory";
 
-function createDirectory() {
+function createDirectory(knownServices = new Set(["dossier", "archive"])) {
     const clock = createVirtualClock();
     const removed: string[] = [];
     const left: string[] = [];
@@ -10,6 +10,7 @@
     const directory = createTestDirectory({
         clock,
         expiryGraceUntil: () => outage.graceUntil,
+        isKnownService: service => knownServices.has(service),
         removed: id => removed.push(id),
         leaving: id => left.push(id),
     });
@@ -54,6 +55,53 @@
         expect(serving()).toEqual(["target-1"]);
     });
 
+    // Guards against an entry of a service that no configuration names, which took a ready target at its address out of use (review/10).
+    test("keeps a target in use when a record of an unknown service has its address", () => {
+        const { directory, serving } = createDirectory();
+        directory.put(targetRecord(0, 80));
+        directory.put(targetRecord(1, 80, { service: "survey", startedAt: 9_000 }));
+        expect(serving()).toEqual(["target-0"]);
+    });
+
+    // Guards against a takeover of an address that is missed because the configuration names the service after the record arrives.
+    test("replaces a target at its address once the configuration names the other service", () => {
+        const knownServices = new Set(["dossier"]);
+        const { directory, serving } = createDirectory(knownServices);
+        directory.put(targetRecord(0, 80));
+        directory.put(targetRecord(1, 80, { service: "survey", startedAt: 9_000 }));
+        expect(serving()).toEqual(["target-0"]);
+        knownServices.add("survey");
+        directory.handleServicesChange();
+        expect(serving()).toEqual([]);
+        expect(directory.serving("survey").map(({ id }) => id)).toEqual(["target-1"]);
+    });
+
+    // Guards against an entry of an unknown service under the key of a target, which replaces its record for good: the target's own
+    // records are older by start time or sequence.
+    test.each([{ startedAt: 9_000 }, { sequence: 90 }])(
+        "keeps a target in use beside a record of an unknown service with its id (%p)",
+        fields => {
+            const odd = targetRecord(0, 80, { service: "survey", ...fields });
+            const { directory, removed, serving } = createDirectory();
+            directory.put(targetRecord(0, 80));
+            expect(directory.put(odd)).toBe(false);
+            expect([serving(), removed]).toEqual([["target-0"], []]);
+            const started = createDirectory();
+            started.directory.put(odd);
+            started.directory.put(targetRecord(0, 80, { sequence: 2 }));
+            expect(started.serving()).toEqual(["target-0"]);
+        },
+    );
+
+    // Guards against the same after the entry was removed: the record that was dropped last must not count as a later one.
+    test("uses a target again after a record of an unknown service with its id was dropped", () => {
+        const { directory, serving } = createDirectory();
+        directory.put(targetRecord(0, 80, { service: "survey", startedAt: 9_000 }));
+        directory.drop("target-0");
+        directory.put(targetRecord(0, 80));
+        expect(serving()).toEqual(["target-0"]);
+    });
+
     // Guards against quadratic work in the number of targets per record: a copy of 232 records blocked an instance of laurel-gw-grown, so that
     // it learned of leaving targets seconds late. At this size, such work exceeds the test's timeout.
     test("lists and replaces the number of targets expected in two years", () => {
