--- a/test/users-platform/codecs.test.ts
+++ b/test/users-platform/codecs.test.ts
@@ -129,6 +129,9 @@
     test.each([
         ["a missing field", { Slots: undefined }],
         ["a field of another type", { Sequence: "4" }],
+        // Such an entry at the address of a target that started earlier would take it out of use.
+        ["no version", { Version: undefined }],
+        ["a version of another type", { Version: 3 }],
         ["an unknown state", { State: "resting" }],
         ["an address without a port", { Address: "10.0.0.9" }],
         // Connecting to such a port throws synchronously, which ended the process when it happened after a failed attempt.
