Read the registered instances while the store rejects the own record

Cause: an instance read the others only after the store had accepted its record. While it rejects writes (507 when its space is used up, 429), an instance without seeds knew no other one, although their entries are there to be read.

Change: the others are read once before that, and again after the record has been accepted.

Evidence: test/gateway/registration.test.ts, "finds the other instances while the store rejects its record", fails before the change.

--- a/packages/gateway/src/registration.ts
+++ b/packages/gateway/src/registration.ts
@@ -72,17 +72,32 @@
     return written.isOk() ? responseEra ?? eraBefore : undefined;
 }
 
-/** Registers until the store accepts it; returns the era in which it did. */
+/** Reads the registered instances and adds them as peers; returns their number, undefined when the store did not return them. */
+async function addRegistered({ store, addPeer }: RegistrationParts, signal: AbortSignal): Promise<number | undefined> {
+    const listed = await store.newest(stream.instances, signal);
+    if (listed.isErr()) {
+        return undefined;
+    }
+    const addresses = listed.value.records.map(({ value }) => value?.toString() ?? "").filter(isIPv4);
+    addresses.forEach(addPeer);
+    return addresses.length;
+}
+
+/**
+ * Registers until the store accepts it; returns the era in which it did. The other instances are read as well while the store rejects
+ * the record, so that this instance does not stay alone.
+ */
 async function register(parts: RegistrationParts, signal: AbortSignal): Promise<number> {
-    const { store, clock, log } = parts;
+    const { clock, log } = parts;
     let registeredEra: number | undefined;
+    let instances: number | undefined;
     for (let failures = 0; !signal.aborted; failures++) {
         registeredEra ??= await writeRecord(parts, signal);
-        const listed = registeredEra === undefined ? undefined : await store.newest(stream.instances, signal);
-        if (registeredEra !== undefined && listed?.isOk() === true) {
-            const addresses = listed.value.records.map(({ value }) => value?.toString() ?? "");
-            addresses.filter(isIPv4).forEach(parts.addPeer);
-            log.lifecycle("registered", { instances: addresses.length, failures, era: registeredEra });
+        if (registeredEra !== undefined || instances === undefined) {
+            instances = await addRegistered(parts, signal);
+        }
+        if (registeredEra !== undefined && instances !== undefined) {
+            log.lifecycle("registered", { instances, failures, era: registeredEra });
             return registeredEra;
         }
         const backoffMs = Math.min(maxBackoffMs, firstBackoffMs * 2 ** failures);
--- a/test/gateway/registration.test.ts
+++ b/test/gateway/registration.test.ts
@@ -1,12 +1,13 @@
 import { createVirtualClock } from "@trefoilladder/clock";
-import { createStoreEra } from "@trefoilladder/replication";
+import { createStoreEra, StoreFailure } from "@trefoilladder/replication";
+import { err } from "neverthrow";
 import { setMaxListeners } from "node:events";
 import { registerInstance } from "../../packages/gateway/src/registration";
 import { silentLog } from "../replication/silent-log";
 import { createMemoryStore } from "./fixtures";
 
 /** Starts a registration; `events` lists the logged events. */
-function startRegistration(options: { hasSeeds: boolean; isDue(): boolean; }) {
+function startRegistration(options: { hasSeeds: boolean; isDue(): boolean; rejectsWrites?: boolean; }) {
     const clock = createVirtualClock();
     const stopping = new AbortController();
     setMaxListeners(0, stopping.signal);
@@ -15,8 +16,10 @@
     const store = createMemoryStore();
     store.put("instances", "entry-9", "other");
     const era = createStoreEra({ now: () => clock.now(), log: silentLog() });
+    const view = store.view();
+    const rejected = () => Promise.resolve(err(new StoreFailure("refused", "the store responded with status 507")));
     const done = registerInstance({
-        store: store.view(),
+        store: options.rejectsWrites === true ? { ...view, put: rejected } : view,
         clock,
         log: silentLog(events),
         random: () => 0.5,
@@ -128,4 +131,14 @@
         expect(registration.addedPeers.toSorted()).toEqual(["10.1.0.1", "10.1.0.2"]);
         await registration.stop();
     });
+
+    // Guards against an instance that stays alone because the store rejects its record, although it returns those of the others.
+    test("finds the other instances while the store rejects its record", async () => {
+        const registration = startRegistration({ hasSeeds: false, isDue: () => true, rejectsWrites: true });
+        await registration.putAddress("entry-2", "10.1.0.2");
+        await registration.advance(10_000);
+        expect(registration.addedPeers).toEqual(["10.1.0.2"]);
+        expect(registration.events).not.toContain("registered");
+        await registration.stop();
+    });
 });
