State no length beside 204 and 304 unless the target does

Cause: since a response without a length that was received completely carries the length of its body, also beside a status that has none; 304 with a length of 0 tells the caller that the resource is empty.

Change: as for HEAD, such a response carries the target's length, or none.

--- a/packages/gateway/src/response-relay.ts
+++ b/packages/gateway/src/response-relay.ts
@@ -15,6 +15,9 @@
     unsent(bytes: number): void;
 }
 
+/** Statuses of responses that never have a body. */
+const bodilessStatuses = new Set([204, 304]);
+
 /**
  * Sends the head of a response; `length` is the length of its body, if it is known. Without one the body is sent in chunks: if it
  * ended with the connection, a part of it would look complete when the process is killed, since the system closes the connection.
@@ -53,6 +56,11 @@
     outgoing.destroy();
 }
 
+/** Returns whether a response has no body; its head may carry the length of one that is not sent. */
+function hasNoBody(outgoing: ServerResponse, head: ResponseHead): boolean {
+    return outgoing.req.method === "HEAD" || bodilessStatuses.has(head.status);
+}
+
 /** Sends a response that has been received completely; `close` closes the caller's connection after it. */
 export function sendResponse(
     outgoing: ServerResponse,
@@ -62,9 +70,7 @@
     if (outgoing.destroyed) {
         return;
     }
-    // The response to a HEAD request carries the length of a body that is not sent.
-    const isHead = outgoing.req.method === "HEAD";
-    const length = isHead ? head.bodyLength : body.length;
+    const length = hasNoBody(outgoing, head) ? head.bodyLength : body.length;
     beginResponse(outgoing, head, { length, close });
     outgoing.end(body);
 }
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -352,6 +352,16 @@
         expect(result.headers["content-length"]).toBeUndefined();
     });
 
+    // Guards against a length beside a status that has no body.
+    test.each([204, 304])("receives no length beside the status %d when the target states none", async status => {
+        const text = `HTTP/1.1 ${status} None\r\nRequest-Id: ID\r\nResponse-Signature: s\r\n\r\n`;
+        await start([(socket, _, id) => void socket.end(text.replace("ID", id))]);
+        const result = await callFirst();
+        expect(result).toMatchObject({ status, body: "", complete: true });
+        expect(result.headers["content-length"]).toBeUndefined();
+        expect(result.headers["transfer-encoding"]).toBeUndefined();
+    });
+
     // Guards against chunks sent to a caller that does not know them.
     test("of HTTP/1.0 receives a body without a length up to the end of the connection", async () => {
         const text = `HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nResponse-Signature: s\r\n\r\n${"x".repeat(300_000)}`;
