Send 204 and 304 without a length

Cause: the parser reports a body of 0 bytes for these statuses, and that length was sent. 304 with a length of 0 tells the caller that the resource is empty.

Change: these statuses are sent without a length.

Evidence: test/gateway/gateway.test.ts, "receives no length beside the status 204 ..." and "... 304 ...", failed before (length "0") and pass; the 79 tests of gateway, truncated-responses and pipelined-requests pass.

--- a/packages/gateway/src/response-relay.ts
+++ b/packages/gateway/src/response-relay.ts
@@ -7,6 +7,12 @@
 import type { Attempt, AttemptResult } from "./attempt";
 import { endToEndHeaders } from "./response-check";
 
+/** A response that has been received completely. */
+export interface CompleteResponse {
+    head: ResponseHead;
+    body: Buffer;
+}
+
 /** Receives how the body of a streamed response ended. */
 export interface StreamListener {
     ended(): void;
@@ -15,7 +21,7 @@
     unsent(bytes: number): void;
 }
 
-/** Statuses of responses that never have a body. */
+/** Statuses of responses that never have a body; a length beside them would mislead the caller. */
 const bodilessStatuses = new Set([204, 304]);
 
 /**
@@ -56,23 +62,25 @@
     outgoing.destroy();
 }
 
-/** Returns whether a response has no body; its head may carry the length of one that is not sent. */
-function hasNoBody(outgoing: ServerResponse, head: ResponseHead): boolean {
-    return outgoing.req.method === "HEAD" || bodilessStatuses.has(head.status);
+/** Returns the length to state for a complete response; the response to a HEAD request states that of a body that is not sent. */
+function statedLength(outgoing: ServerResponse, { head, body }: CompleteResponse): number | undefined {
+    if (bodilessStatuses.has(head.status)) {
+        return undefined;
+    }
+    return outgoing.req.method === "HEAD" ? head.bodyLength : body.length;
 }
 
 /** Sends a response that has been received completely; `close` closes the caller's connection after it. */
 export function sendResponse(
     outgoing: ServerResponse,
-    { head, body }: { head: ResponseHead; body: Buffer; },
+    response: CompleteResponse,
     close: boolean,
 ): void {
     if (outgoing.destroyed) {
         return;
     }
-    const length = hasNoBody(outgoing, head) ? head.bodyLength : body.length;
-    beginResponse(outgoing, head, { length, close });
-    outgoing.end(body);
+    beginResponse(outgoing, response.head, { length: statedLength(outgoing, response), close });
+    outgoing.end(response.body);
 }
 
 /** Sends a response whose body is still being received. */
