Let an experiment's fault begin before it ends

Cause: the step at 85% of a run ended the fault that the step at 25% begins, also when that had not yet begun; on a busy machine the experiment failed with "Cannot set properties of undefined (setting 'to')".

Change: the ending step waits for the beginning one.

Evidence: test/experiment/experiments.test.ts fails before the change with that error.

--- a/packages/experiment/src/experiments.ts
+++ b/packages/experiment/src/experiments.ts
@@ -68,27 +68,37 @@
     return random.pick(busy.length > 0 ? busy : candidates.slice(0, 1)).target;
 }
 
+async function beginFault(
+    context: ExperimentContext,
+    behaviour: Partial<TargetBehaviour>,
+): Promise<{ target: TargetProcess; fault: TargetFault; }> {
+    const target = await pickTarget(context);
+    await context.fleet.setTarget(target, behaviour);
+    const fault = { target: target.id, from: sharedNow(), to: Infinity };
+    context.faults.push(fault);
+    return { target, fault };
+}
+
 /** Makes one target faulty from 25% to 85% of the run. */
 function grayTarget(behaviour: Partial<TargetBehaviour>): Experiment["createSteps"] {
     return () => {
-        let fault: TargetFault | undefined;
-        let target: TargetProcess | undefined;
+        /** On a busy machine the fault may still be beginning when it is to end. */
+        let beginning: ReturnType<typeof beginFault> | undefined;
         return [
             {
                 at: 0.25,
                 async run(context) {
-                    target = await pickTarget(context);
-                    await context.fleet.setTarget(target, behaviour);
-                    fault = { target: target.id, from: sharedNow(), to: Infinity };
-                    context.faults.push(fault);
+                    beginning = beginFault(context, behaviour);
+                    await beginning;
                 },
             },
             {
                 at: 0.85,
                 async run({ fleet }) {
-                    fault!.to = sharedNow();
+                    const { target, fault } = await beginning!;
+                    fault.to = sharedNow();
                     const restored = Object.keys(behaviour).map(name => [name, name === "slowFactor" ? 1 : 0]);
-                    await fleet.setTarget(target!, Object.fromEntries(restored) as Partial<TargetBehaviour>);
+                    await fleet.setTarget(target, Object.fromEntries(restored) as Partial<TargetBehaviour>);
                 },
             },
         ];
