--- a/review/common-3/harness.mjs
+++ b/review/common-3/harness.mjs
@@ -189,6 +189,11 @@
             state = "draining";
             write();
         },
+        /** Ends the entry without a word, and serves on. */
+        leave() {
+            clearInterval(timer);
+            store.put("keyed.servers", id, undefined);
+        },
         close() {
             clearInterval(timer);
             server.close();
@@ -201,7 +206,7 @@
 export const resource = (type, name, spec) => ({ ResourceType: type, Metadata: { Name: name }, Spec: spec });
 
 /** Starts gateways, the one with index i at the address 127.0.1.(i + 1). */
-export async function startGateways({ store, count, seeds, record, stopSeconds = 6, budget }) {
+export async function startGateways({ store, count, seeds, record, stopSeconds = 6, budget, domains = ["a"] }) {
     const directory = mkdtempSync(join(tmpdir(), "review-"));
     const ports = [];
     for (let index = 0; index < 5; index++) {
@@ -212,10 +217,11 @@
 
     function start(index) {
         const host = `127.0.1.${index + 1}`;
+        const domain = domains[index % domains.length];
         const settings = {
-            instance: `front-a-${index + 1}`,
-            domain: "a",
-            regions: { a: "r" },
+            instance: `front-${domain}-${index + 1}`,
+            domain,
+            regions: Object.fromEntries(domains.map(name => [name, "r"])),
             address: host,
             callers: `${host}:${callers}`,
             readiness: `${host}:${readiness}`,
@@ -298,11 +304,11 @@
 
 let lastRequest = 0;
 
-/** Sends a request on a channel of its own and resolves with its status, 0 when the channel ends without an answer. */
+/** Sends a request on a channel of its own; `result` resolves with its status, 0 when the channel ends without an answer. */
 export function send({ host, port, path, method = "GET", key, deadlineMs = 4_000, body, headers = {} }) {
     lastRequest += 1;
     const id = `c${process.pid}-${lastRequest}`;
-    return new Promise(resolve => {
+    const result = new Promise(resolve => {
         const call = request({
             host,
             port,
@@ -337,6 +343,7 @@
         call.on("error", () => resolve({ id, status: 0 }));
         call.end(body);
     });
+    return { id, result };
 }
 
 /**
@@ -418,3 +425,36 @@
     }
     process.exit(status);
 }
+
+/** Starts a proxy to an address of which all open channels can go silent for good, while new ones work. */
+export async function startSilencer(address) {
+    const [host, port] = address.split(":");
+    const channels = new Set();
+    const server = createTcpServer(near => {
+        const far = connect(Number(port), host);
+        const channel = { isSilent: false };
+        channels.add(channel);
+        const pass = (from, to) => {
+            from.on("data", bytes => channel.isSilent || to.write(bytes));
+            from.on("error", () => undefined);
+            from.on("close", () => {
+                channels.delete(channel);
+                if (!channel.isSilent) {
+                    to.destroy();
+                }
+            });
+        };
+        pass(near, far);
+        pass(far, near);
+    }).listen(0, "127.0.0.1");
+    await once(server, "listening");
+    return {
+        address: `127.0.0.1:${server.address().port}`,
+        /** Silences the open channels; returns their number. */
+        silence() {
+            channels.forEach(channel => channel.isSilent = true);
+            return channels.size;
+        },
+        close: () => server.close(),
+    };
+}
