--- a/review/common-3/harness.mjs
+++ b/review/common-3/harness.mjs
@@ -143,9 +143,9 @@
 
 /**
  * Starts a stand-in of an upstream, which writes its entry to the store. `run(incoming, outgoing, answer)` is called for each request
- * once it has arrived; `answer(status, body)` sends a signed response.
+ * once it has arrived; `answer(status, body)` sends a signed response. `through` returns the address to list in place of its own.
  */
-export async function startUpstream(store, { id, service, address = "127.0.0.1", slots = 6, run }) {
+export async function startUpstream(store, { id, service, address = "127.0.0.1", slots = 6, run, through }) {
     let sequence = 0;
     let state = "ready";
     const born = Date.now();
@@ -165,11 +165,12 @@
     server.keepAliveTimeout = 10_000;
     await once(server, "listening");
     const { port } = server.address();
+    const listed = await through?.(`${address}:${port}`) ?? `${address}:${port}`;
     const write = () => {
         sequence += 1;
         store.put("keyed.servers", id, {
             Service: service,
-            Address: `${address}:${port}`,
+            Address: listed,
             Zone: "a",
             Version: "v1",
             Slots: slots,
